--- /dev/null
+++ b/src/main/java/arrowford/Main.java
@@ -0,0 +1,20 @@
+package arrowford;
+
+import java.io.IOException;
+
+/** Starts one of the two programs: the real aggregator, or the decision module on the simulator's pipe. */
+public final class Main {
+  private Main() {}
+
+  public static void main(String[] args) throws IOException {
+    String what = args.length == 1 ? args[0] : "";
+    switch (what) {
+      case "serve" -> Aggregator.main();
+      case "wirehost" -> arrowford.wirehost.Main.main(args);
+      default -> {
+        System.err.println("usage: serve | wirehost");
+        System.exit(2);
+      }
+    }
+  }
+}
--- a/src/main/java/arrowford/Policy.java
+++ b/src/main/java/arrowford/Policy.java
@@ -13,6 +13,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -204,6 +205,11 @@
 
   // --- A query and its parts arrive --------------------------------------------------------------
 
+  @Override
+  public OptionalDouble turnedAway(int held) {
+    return held <= settings.limits().maxOpen() ? OptionalDouble.empty() : OptionalDouble.of(advice());
+  }
+
   @Override
   public void query(Query query, double now, Actions out) {
     at(now, out);
@@ -487,9 +493,7 @@
     boolean harmless =
         q.kind.effect() == Settings.Effect.SAFE || q.parts.stream().noneMatch(PartState::mayHaveRun);
     if (harmless) {
-      // The client is told to come back when what is out now should have been served.
-      double pause = Math.min(settings.limits().maxAdvice(), ADVICE * usual());
-      out.refuse(q.query.id(), settings.limits().advice() ? pause : 0);
+      out.refuse(q.query.id(), advice());
     } else {
       out.fail(q.query.id());
     }
@@ -499,6 +503,11 @@
     end(q);
   }
 
+  /** The client is told to come back when what is out now should have been served. */
+  private double advice() {
+    return settings.limits().advice() ? Math.min(settings.limits().maxAdvice(), ADVICE * usual()) : 0;
+  }
+
   private void end(QueryState q) {
     q.over = true;
     held.remove(q);
--- a/src/main/java/arrowford/Router.java
+++ b/src/main/java/arrowford/Router.java
@@ -1,6 +1,7 @@
 package arrowford;
 
 import java.util.List;
+import java.util.OptionalDouble;
 
 /**
  * The decisions of one front node: events in, {@link Actions} out. Every event carries the clock in milliseconds;
@@ -82,6 +83,14 @@
   /** The list of servers, or a change to it, or the news that asking for it failed. */
   void members(ListKind kind, List<Member> entries, double now, Actions out);
 
+  /**
+   * Whether a query is turned away unseen since so many queries and parts, its own included, would be held: the
+   * pause its client is advised, or empty where there is room.
+   */
+  default OptionalDouble turnedAway(int held) {
+    return OptionalDouble.empty();
+  }
+
   /** A query arrives. */
   void query(Query query, double now, Actions out);
 
--- /dev/null
+++ b/src/main/java/arrowford/broker/AttemptId.java
@@ -0,0 +1,4 @@
+package arrowford.broker;
+
+/** The n-th attempt of a part, from 0. */
+public record AttemptId(long part, int number) {}
--- /dev/null
+++ b/src/main/java/arrowford/broker/Broker.java
@@ -0,0 +1,84 @@
+package arrowford.broker;
+
+import java.lang.System.Logger.Level;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Feeds events to the reducer one by one and has its effects carried out. Lives on one thread. */
+public final class Broker {
+  private static final System.Logger LOG = System.getLogger(Broker.class.getName());
+
+  /** Runs a task after so many milliseconds, on the broker's thread. */
+  public interface Timer {
+    void after(double ms, Runnable task);
+  }
+
+  private final Reducer reducer;
+  private final Clock clock;
+  private final Timer timer;
+  private final List<Dialect> dialects = new ArrayList<>();
+  private final ArrayDeque<Event> waiting = new ArrayDeque<>();
+  private boolean busy;
+  private long lastId;
+
+  public Broker(Reducer reducer, Clock clock, Timer timer) {
+    this.reducer = reducer;
+    this.clock = clock;
+    this.timer = timer;
+  }
+
+  /** Adds a wire, which from now on hears of servers whose idle connections are to be closed. */
+  public void add(Dialect dialect) {
+    dialects.add(dialect);
+  }
+
+  /** A fresh id for a request. */
+  public long nextId() {
+    return ++lastId;
+  }
+
+  /** Requests without a final answer. */
+  public int open() {
+    return reducer.open();
+  }
+
+  /** Takes an event; one that comes while another is dealt with waits for its turn. */
+  public void submit(Event event) {
+    waiting.add(event);
+    if (busy) {
+      return;
+    }
+    busy = true;
+    try {
+      while (!waiting.isEmpty()) {
+        reducer.reduce(waiting.poll(), clock.now()).forEach(this::perform);
+      }
+    } finally {
+      busy = false;
+    }
+  }
+
+  private void perform(Effect effect) {
+    try {
+      if (effect instanceof Effect.Start e) {
+        e.request().dialect().start(e);
+      } else if (effect instanceof Effect.Abandon e) {
+        e.request().dialect().abandon(e);
+      } else if (effect instanceof Effect.Reply e) {
+        e.request().dialect().reply(e);
+      } else if (effect instanceof Effect.WakeAt e) {
+        timer.after(e.time() - clock.now(), () -> submit(e.event()));
+      } else if (effect instanceof Effect.CloseIdle e) {
+        dialects.forEach(d -> d.closeIdle(e.server()));
+      } else if (effect instanceof Effect.Probe e) {
+        dialects.stream().findFirst().ifPresent(d -> d.probe(e.server()));
+      } else if (effect instanceof Effect.Log e) {
+        LOG.log(Level.INFO, e.text());
+      }
+    } catch (RuntimeException failure) {
+      // Guards against one wire's fault keeping the effects behind it from being carried out.
+      LOG.log(Level.ERROR, "could not carry out " + effect, failure);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/arrowford/broker/Dialect.java
@@ -0,0 +1,22 @@
+package arrowford.broker;
+
+/** A wire, seen from the core: it carries out attempts and delivers answers. Calls never block. */
+public interface Dialect {
+  /** Sends an attempt; its end comes back as {@link Event.Ended}. */
+  void start(Effect.Start attempt);
+
+  /**
+   * Gives an attempt up. Once the server has been told, or never will be asked, {@link Event.Abandoned} comes back,
+   * unless the attempt has ended by itself before.
+   */
+  void abandon(Effect.Abandon attempt);
+
+  /** Delivers the one final answer of a request. */
+  void reply(Effect.Reply reply);
+
+  /** Closes idle connections to a server. */
+  void closeIdle(String server);
+
+  /** Probes a server, with {@link Event.Probed} to follow. */
+  void probe(String server);
+}
--- /dev/null
+++ b/src/main/java/arrowford/broker/Event.java
@@ -0,0 +1,34 @@
+package arrowford.broker;
+
+import arrowford.Router;
+import java.util.List;
+
+/** What can happen to the core. */
+public sealed interface Event {
+  /** A request has come in whole. */
+  record Taken(Request request) implements Event {}
+
+  /** The client of a request has left. */
+  record Left(long request) implements Event {}
+
+  /** Discovery has told a list of servers or a change. */
+  record Told(Router.ListKind kind, List<Router.Member> members) implements Event {}
+
+  /** An attempt has ended by itself; {@code value} is what it brought, null but for OK. */
+  record Ended(AttemptId attempt, Router.Outcome outcome, Payload value) implements Event {}
+
+  /** A server has been told that an attempt is given up, or was never asked. */
+  record Abandoned(AttemptId attempt) implements Event {}
+
+  /** An attempt was never sent, since the rules forbid it. */
+  record Unsent(AttemptId attempt, String server) implements Event {}
+
+  /** An attempt's time is over. */
+  record Overdue(AttemptId attempt) implements Event {}
+
+  /** An alarm that the module set is due. */
+  record Alarm(String token) implements Event {}
+
+  /** A probe has come back or failed. */
+  record Probed(String server, boolean ok, double elapsed) implements Event {}
+}
--- /dev/null
+++ b/src/main/java/arrowford/broker/Reducer.java
@@ -0,0 +1,286 @@
+package arrowford.broker;
+
+import arrowford.Policy;
+import arrowford.Router;
+import arrowford.Settings;
+import java.lang.System.Logger.Level;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.TreeMap;
+
+/**
+ * The one place where the state of requests, parts and attempts changes. It tells the module what happens, and turns
+ * what the module does into effects; it decides nothing itself.
+ */
+public final class Reducer {
+  private static final System.Logger LOG = System.getLogger(Reducer.class.getName());
+
+  /** Ms before a client's end from which a failure counts as out of time. */
+  private static final double FAILED_LATE = 100;
+
+  private static final class Open {
+    final Request request;
+    final double endsAt;
+    final long firstPart;
+    final TreeMap<Integer, Payload> values = new TreeMap<>();
+
+    Open(Request request, double endsAt, long firstPart) {
+      this.request = request;
+      this.endsAt = endsAt;
+      this.firstPart = firstPart;
+    }
+  }
+
+  /** A part lives until its request is over and none of its attempts is out. */
+  private static final class Part {
+    final Open open;
+    final int slice;
+    int sent;
+    Out out;
+
+    Part(Open open, int slice) {
+      this.open = open;
+      this.slice = slice;
+    }
+  }
+
+  private static final class Out {
+    final AttemptId id;
+    final String server;
+    final double sentAt;
+    Router.Outcome given;
+
+    Out(AttemptId id, String server, double sentAt) {
+      this.id = id;
+      this.server = server;
+      this.sentAt = sentAt;
+    }
+  }
+
+  private final Settings settings;
+  private final Router router;
+  private final Map<Long, Open> requests = new HashMap<>();
+  private final Map<Long, Part> parts = new HashMap<>();
+  private final ArrayDeque<Event> inner = new ArrayDeque<>();
+  private final Recorder recorder = new Recorder();
+  private List<Effect> effects = new ArrayList<>();
+  private long nextPart = 1;
+  private int partsHeld;
+  private double now;
+
+  public Reducer(Settings settings, long seed, double now) {
+    this.settings = settings;
+    this.now = now;
+    this.router = new Policy(settings, seed, now, recorder);
+  }
+
+  /** Requests without a final answer. */
+  public int open() {
+    return requests.size();
+  }
+
+  /** Takes one event and returns what is to be done, in order. */
+  public List<Effect> reduce(Event event, double at) {
+    now = Math.max(now, at);
+    effects = new ArrayList<>();
+    inner.add(event);
+    while (!inner.isEmpty()) {
+      Event next = inner.poll();
+      try {
+        apply(next);
+        router.settle(now, recorder);
+      } catch (RuntimeException e) {
+        LOG.log(Level.ERROR, "the module failed on " + next, e);
+        if (next instanceof Event.Taken taken) {
+          // Guards against a request that is lost because deciding on it failed.
+          end(taken.request().id(), new Effect.Answer.Failed(false));
+        }
+      }
+    }
+    return effects;
+  }
+
+  private void apply(Event event) {
+    if (event instanceof Event.Taken e) {
+      take(e.request());
+    } else if (event instanceof Event.Left e) {
+      if (forget(e.request()) != null) {
+        router.gone(e.request(), now, recorder);
+      }
+    } else if (event instanceof Event.Told e) {
+      router.members(e.kind(), e.members(), now, recorder);
+    } else if (event instanceof Event.Ended e) {
+      ended(e.attempt(), e.outcome(), e.value());
+    } else if (event instanceof Event.Unsent e) {
+      router.ended(new Router.Ended(e.attempt().part(), e.attempt().number(), e.server(), Router.Outcome.MOOT, 0,
+          null), now, recorder);
+    } else if (event instanceof Event.Abandoned e) {
+      Out out = out(e.attempt());
+      if (out != null && out.given != null) {
+        ended(e.attempt(), out.given, null);
+      }
+    } else if (event instanceof Event.Overdue e) {
+      Out out = out(e.attempt());
+      if (out != null) {
+        giveUp(out, Router.Outcome.TIMEOUT);
+      }
+    } else if (event instanceof Event.Alarm e) {
+      router.alarm(e.token(), now, recorder);
+    } else if (event instanceof Event.Probed e) {
+      router.probed(new Router.Probed(e.server(), e.ok(), e.elapsed(), null), now, recorder);
+    }
+  }
+
+  private void take(Request r) {
+    Open open = new Open(r, now + r.timeLeft(), nextPart);
+    requests.put(r.id(), open);
+    nextPart += r.slices().size();
+    partsHeld += r.slices().size();
+    OptionalDouble full = router.turnedAway(requests.size() + partsHeld);
+    if (full.isPresent()) {
+      end(r.id(), new Effect.Answer.Refused(full.getAsDouble()));
+      return;
+    }
+    double work = r.slices().stream().mapToDouble(Request.Slice::work).sum();
+    router.query(new Router.Query(r.id(), r.id(), r.requestClass(), r.slices().size(), work, r.retry(), r.timeLeft(),
+        0), now, recorder);
+    for (int i = 0; i < r.slices().size(); i++) {
+      Request.Slice s = r.slices().get(i);
+      parts.put(open.firstPart + i, new Part(open, i));
+      router.part(new Router.Part(open.firstPart + i, r.id(), s.shard(), s.weight(), s.work()), now, recorder);
+    }
+  }
+
+  private Out out(AttemptId id) {
+    Part p = parts.get(id.part());
+    return p != null && p.out != null && p.out.id.equals(id) ? p.out : null;
+  }
+
+  private void ended(AttemptId id, Router.Outcome outcome, Payload value) {
+    Out out = out(id);
+    if (out == null) {
+      return;
+    }
+    Part p = parts.get(id.part());
+    p.out = null;
+    if (outcome == Router.Outcome.OK) {
+      p.open.values.put(p.slice, value);
+    }
+    tidy(id.part(), p);
+    router.ended(new Router.Ended(id.part(), id.number(), out.server, outcome, now - out.sentAt, null), now, recorder);
+  }
+
+  private void giveUp(Out out, Router.Outcome as) {
+    if (out.given == null) {
+      out.given = as;
+      effects.add(new Effect.Abandon(out.id, parts.get(out.id.part()).open.request, out.server));
+    }
+  }
+
+  /** The one final answer: whoever comes second finds the request gone. */
+  private void end(long id, Effect.Answer answer) {
+    Open open = forget(id);
+    if (open != null) {
+      effects.add(new Effect.Reply(open.request, answer));
+    }
+  }
+
+  private Open forget(long id) {
+    Open open = requests.remove(id);
+    if (open != null) {
+      int count = open.request.slices().size();
+      partsHeld -= count;
+      for (int i = 0; i < count; i++) {
+        Part p = parts.get(open.firstPart + i);
+        if (p != null) {
+          tidy(open.firstPart + i, p);
+        }
+      }
+    }
+    return open;
+  }
+
+  private void tidy(long id, Part p) {
+    if (p.out == null && !requests.containsKey(p.open.request.id())) {
+      parts.remove(id);
+    }
+  }
+
+  /** The module's actions as effects. */
+  private final class Recorder implements Router.Actions {
+    @Override
+    public void send(long part, String server, double timeout) {
+      Part p = parts.get(part);
+      if (p == null) {
+        return;
+      }
+      AttemptId id = new AttemptId(part, p.sent++);
+      boolean over = !requests.containsKey(p.open.request.id());
+      if (over || p.out != null || id.number() >= settings.limits().maxAttempts()) {
+        // Guards against one attempt too many, whatever asked for it: it ends unsent.
+        inner.add(new Event.Unsent(id, server));
+        return;
+      }
+      p.out = new Out(id, server, now);
+      double wait = Math.min(timeout, p.open.endsAt - now);
+      effects.add(new Effect.Start(id, p.open.request, p.slice, server, wait));
+      effects.add(new Effect.WakeAt(now + wait, new Event.Overdue(id)));
+    }
+
+    @Override
+    public void cancel(long part, int attempt) {
+      Out out = out(new AttemptId(part, attempt));
+      if (out != null) {
+        giveUp(out, Router.Outcome.CANCELLED);
+      }
+    }
+
+    @Override
+    public void answer(long query, boolean whole) {
+      Open open = requests.get(query);
+      if (open != null) {
+        end(query, new Effect.Answer.Answered(whole, new TreeMap<>(open.values)));
+      }
+    }
+
+    @Override
+    public void refuse(long query, double pause) {
+      end(query, new Effect.Answer.Refused(pause));
+    }
+
+    @Override
+    public void fail(long query) {
+      Open open = requests.get(query);
+      end(query, new Effect.Answer.Failed(open != null && now >= open.endsAt - FAILED_LATE));
+    }
+
+    @Override
+    public void alarmAt(double time, String token) {
+      effects.add(new Effect.WakeAt(time, new Event.Alarm(token)));
+    }
+
+    @Override
+    public void watch() {
+      // Discovery is always watched here; the module need not ask.
+    }
+
+    @Override
+    public void close(String server) {
+      effects.add(new Effect.CloseIdle(server));
+    }
+
+    @Override
+    public void probe(String server) {
+      effects.add(new Effect.Probe(server));
+    }
+
+    @Override
+    public void log(String text) {
+      effects.add(new Effect.Log(text));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/arrowford/config/Configuration.java
@@ -0,0 +1,14 @@
+package arrowford.config;
+
+import arrowford.Settings;
+import arrowford.net.HostPort;
+import java.util.List;
+
+/** All that one aggregator is told at its start, checked. {@code known} is the list it last held. */
+public record Configuration(
+    String name, HostPort listen, HostPort discovery, long seed, int sockets, ServerList known, Settings settings,
+    Wire wire, List<String> zones) {
+
+  /** Figures of the wire to the slot servers: calls a connection, and ms after which an idle one is closed there. */
+  public record Wire(int streams, double keepalive) {}
+}
--- /dev/null
+++ b/src/main/java/arrowford/config/ConfigurationReader.java
@@ -0,0 +1,107 @@
+package arrowford.config;
+
+import arrowford.net.HostPort;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** Reads the configuration file that LB_CONFIG names; the other variables go before what it says. */
+public final class ConfigurationReader {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private ConfigurationReader() {}
+
+  /** Reads all; throws ConfigException with the faulty variable or key. */
+  public static Configuration read(Map<String, String> environment) {
+    JsonNode in = file(environment.get("LB_CONFIG"));
+    JsonNode settings = in.path("settings");
+    if (!settings.isObject()) {
+      throw new ConfigException("'settings' is missing");
+    }
+    List<String> zones = zones(settings);
+    JsonNode known = in.get("known");
+    ServerList list = known == null || known.isNull()
+        ? new ServerList(0, true, List.of()) : named("known", () -> ServerList.read(known, zones));
+    JsonNode limits = settings.path("policyLimits");
+    double sockets = named("limits", () -> Fields.figure(in.path("limits"), "sockets", 1024));
+    double streams = named("settings", () -> Fields.figure(limits, "streamsPerConn", 100));
+    double keepalive = named("settings", () -> Fields.figure(limits, "keepalive", 15_000));
+    if (streams < 1) {
+      throw new ConfigException("settings: 'streamsPerConn' is below 1");
+    }
+    if (sockets < 64) {
+      throw new ConfigException("limits: 'sockets' is below 64");
+    }
+    return new Configuration(value(environment, in, "LB_NAME", "name"),
+        address(environment, in, "LB_LISTEN", "listen"), address(environment, in, "LB_DISCOVERY", "discovery"),
+        seed(in), (int) sockets, list, SettingsReader.read(settings),
+        new Configuration.Wire((int) streams, keepalive), zones);
+  }
+
+  /** The names of the zones, by which discovery calls them. */
+  public static List<String> zones(JsonNode settings) {
+    List<String> zones = new ArrayList<>();
+    settings.path("failureDomains").forEach(z -> zones.add(z.asText()));
+    return List.copyOf(zones);
+  }
+
+  private interface Part<T> {
+    T read();
+  }
+
+  private static <T> T named(String key, Part<T> part) {
+    try {
+      return part.read();
+    } catch (ConfigException e) {
+      throw e.getMessage().startsWith(key) ? e : new ConfigException(key + ": " + e.getMessage());
+    }
+  }
+
+  private static JsonNode file(String path) {
+    if (path == null || path.isEmpty()) {
+      throw new ConfigException("LB_CONFIG is not set");
+    }
+    try {
+      JsonNode in = MAPPER.readTree(Files.readAllBytes(Path.of(path)));
+      if (in == null || !in.isObject()) {
+        throw new ConfigException("LB_CONFIG: " + path + " holds no JSON object");
+      }
+      return in;
+    } catch (JsonProcessingException e) {
+      throw new ConfigException("LB_CONFIG: " + path + " is not JSON: " + e.getOriginalMessage());
+    } catch (IOException e) {
+      throw new ConfigException("LB_CONFIG: cannot read " + path);
+    }
+  }
+
+  private static String value(Map<String, String> environment, JsonNode in, String variable, String key) {
+    String value = environment.getOrDefault(variable, in.path(key).asText(""));
+    if (value.isEmpty()) {
+      throw new ConfigException("'" + key + "' is missing, and " + variable + " is not set");
+    }
+    return value;
+  }
+
+  private static HostPort address(Map<String, String> environment, JsonNode in, String variable, String key) {
+    try {
+      return HostPort.parse(value(environment, in, variable, key));
+    } catch (IllegalArgumentException e) {
+      throw new ConfigException("'" + key + "' (" + variable + "): " + e.getMessage());
+    }
+  }
+
+  private static long seed(JsonNode in) {
+    String seed = in.path("seed").asText("");
+    try {
+      return Long.parseUnsignedLong(seed, 16);
+    } catch (NumberFormatException e) {
+      throw new ConfigException("'seed' is not a hexadecimal number of 64 bits");
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/arrowford/config/ServerList.java
@@ -0,0 +1,59 @@
+package arrowford.config;
+
+import static arrowford.config.Fields.figure;
+import static arrowford.config.Fields.flag;
+import static arrowford.config.Fields.need;
+import static arrowford.config.Fields.number;
+import static arrowford.config.Fields.text;
+
+import arrowford.Router;
+import arrowford.net.HostPort;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A list of slot servers, or a change to one, in discovery's form. */
+public record ServerList(long revision, boolean complete, List<Entry> entries) {
+
+  /** A server and where this aggregator reaches it. */
+  public record Entry(Router.Member member, HostPort address) {}
+
+  /** Reads a list; {@code zones} are the names that the settings number. */
+  public static ServerList read(JsonNode in, List<String> zones) {
+    List<Entry> entries = new ArrayList<>();
+    JsonNode members = need(in, "members");
+    if (!members.isArray()) {
+      throw new ConfigException("field 'members' is not a list");
+    }
+    for (JsonNode m : members) {
+      entries.add(entry(m, zones));
+    }
+    return new ServerList((long) number(in, "revision"), flag(in, "complete"), List.copyOf(entries));
+  }
+
+  private static Entry entry(JsonNode m, List<String> zones) {
+    String id = text(m, "id");
+    Router.ServerState state = switch (text(m, "phase")) {
+      case "up" -> Router.ServerState.LIVE;
+      case "draining" -> Router.ServerState.DRAINING;
+      case "removed" -> Router.ServerState.GONE;
+      default -> throw new ConfigException("server " + id + ": 'phase' is none that is known");
+    };
+    // A removed server may come without an address.
+    HostPort address = m.hasNonNull("host_port") ? address(m, id) : null;
+    if (address == null && state != Router.ServerState.GONE) {
+      throw new ConfigException("server " + id + ": 'host_port' is missing");
+    }
+    int zone = Math.max(0, zones.indexOf(m.path("locality").asText("")));
+    return new Entry(new Router.Member(id, zone, (int) number(m, "cell", 0), state, figure(m, "up_since_ms", 0)),
+        address);
+  }
+
+  private static HostPort address(JsonNode m, String id) {
+    try {
+      return HostPort.parse(text(m, "host_port"));
+    } catch (IllegalArgumentException e) {
+      throw new ConfigException("server " + id + ": 'host_port': " + e.getMessage());
+    }
+  }
+}
--- a/src/main/java/arrowford/wirehost/SettingsReader.java
+++ b/src/main/java/arrowford/config/SettingsReader.java
@@ -1,7 +1,7 @@
-package arrowford.wirehost;
+package arrowford.config;
 
-import static arrowford.wirehost.Fields.figure;
-import static arrowford.wirehost.Fields.flag;
+import static arrowford.config.Fields.figure;
+import static arrowford.config.Fields.flag;
 
 import arrowford.Settings;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -10,13 +10,13 @@
 import java.util.List;
 
 /** Reads the start settings; keys it does not know are passed over. */
-final class SettingsReader {
+public final class SettingsReader {
   private SettingsReader() {}
 
-  static Settings read(JsonNode in) {
+  public static Settings read(JsonNode in) {
     JsonNode classes = in.get("requestClasses");
     if (classes == null || !classes.isArray() || classes.isEmpty()) {
-      throw new WireException("settings: 'requestClasses' is missing or empty");
+      throw new ConfigException("settings: 'requestClasses' is missing or empty");
     }
     JsonNode domain = sub(in, "domain");
     List<Settings.QueryClass> read = new ArrayList<>();
@@ -43,7 +43,7 @@
 
   private static Settings.QueryClass queryClass(JsonNode c, JsonNode domain, int i) {
     if (!c.has("deadline")) {
-      throw new WireException("settings: 'deadline' of class " + i + " is missing");
+      throw new ConfigException("settings: 'deadline' of class " + i + " is missing");
     }
     double deadline = figure(c, "deadline", 0);
     return new Settings.QueryClass(
@@ -58,7 +58,7 @@
     JsonNode value = domain.path(key).path(i);
     double read = value.isNumber() ? value.doubleValue() : absent;
     if (read < 0) {
-      throw new WireException("settings: '" + key + "' is negative");
+      throw new ConfigException("settings: '" + key + "' is negative");
     }
     return read;
   }
--- /dev/null
+++ b/src/main/java/arrowford/net/Connection.java
@@ -0,0 +1,201 @@
+package arrowford.net;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.lang.System.Logger.Level;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.nio.channels.CompletionHandler;
+import java.util.ArrayDeque;
+
+/**
+ * One TCP connection: reads handed to its owner piece by piece, writes in order with a word when their last byte
+ * has gone. All calls come on the loop's thread, and the owner hears of the end exactly once.
+ */
+public final class Connection {
+  private static final System.Logger LOG = System.getLogger(Connection.class.getName());
+  private static final int READ_BUFFER = 8 * 1024;
+  /** Bytes that may wait to be written; a peer that reads so slowly is cut off. */
+  private static final int MOST_WAITING = 1 << 20;
+
+  /** Ms that a peer gets to end its side after we have ended ours. */
+  private static final double LINGER = 1000;
+
+  /** What the owner of a connection is told. */
+  public interface Owner {
+    /** Bytes have come; the buffer is lent for this call only. */
+    void received(ByteBuffer bytes);
+
+    /** The connection has ended, by whichever side. */
+    void closed();
+  }
+
+  private record Pending(ByteBuffer bytes, Runnable written) {}
+
+  private final EventLoop loop;
+  private final AsynchronousSocketChannel channel;
+  private final ArrayDeque<Pending> writes = new ArrayDeque<>();
+  private final ByteBuffer in = ByteBuffer.allocate(READ_BUFFER);
+  private Owner owner;
+  private boolean writing;
+  private boolean closing;
+  private boolean lingering;
+  private boolean closed;
+  private int waiting;
+
+  Connection(EventLoop loop, AsynchronousSocketChannel channel) {
+    this.loop = loop;
+    this.channel = channel;
+    try {
+      channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+    } catch (IOException e) {
+      LOG.log(Level.DEBUG, "no TCP_NODELAY", e);
+    }
+  }
+
+  /** Connects; the owner's {@code closed} tells of a refusal or of a connection that did not come up in time. */
+  public static Connection open(EventLoop loop, HostPort to, double timeout, Owner owner, Runnable connected) {
+    try {
+      AsynchronousSocketChannel channel = AsynchronousSocketChannel.open(loop.group());
+      Connection made = new Connection(loop, channel);
+      made.owner = owner;
+      var alarm = loop.after(timeout, made::close);
+      channel.connect(to.address(), null, handler(made, ignored -> {
+        alarm.cancel(false);
+        if (!made.closed) {
+          connected.run();
+          made.read();
+        }
+      }));
+      return made;
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Begins to read an accepted connection. */
+  void start(Owner to) {
+    owner = to;
+    read();
+  }
+
+  private interface Done<T> {
+    void with(T result);
+  }
+
+  private static <T> CompletionHandler<T, Void> handler(Connection of, Done<T> done) {
+    return new CompletionHandler<>() {
+      @Override
+      public void completed(T result, Void nothing) {
+        try {
+          done.with(result);
+        } catch (RuntimeException e) {
+          // Guards against one bad message ending more than its own connection.
+          LOG.log(Level.ERROR, "a connection's handler failed", e);
+          of.close();
+        }
+      }
+
+      @Override
+      public void failed(Throwable e, Void nothing) {
+        of.close();
+      }
+    };
+  }
+
+  private void read() {
+    if (closed) {
+      return;
+    }
+    in.clear();
+    channel.read(in, null, handler(this, (Integer count) -> {
+      if (count < 0) {
+        close();
+      } else if (!closed) {
+        in.flip();
+        if (!lingering) {
+          owner.received(in);
+        }
+        read();
+      }
+    }));
+  }
+
+  /** Writes bytes after what waits; {@code written} runs once the last of them has gone to the machine. */
+  public void write(ByteBuffer bytes, Runnable written) {
+    if (closed || closing) {
+      return;
+    }
+    waiting += bytes.remaining();
+    if (waiting > MOST_WAITING) {
+      LOG.log(Level.WARNING, "a peer reads too slowly and is cut off");
+      close();
+      return;
+    }
+    writes.add(new Pending(bytes, written));
+    flush();
+  }
+
+  private void flush() {
+    if (writing || closed) {
+      return;
+    }
+    Pending next = writes.peek();
+    if (next == null) {
+      if (closing && !lingering) {
+        linger();
+      }
+      return;
+    }
+    writing = true;
+    channel.write(next.bytes, null, handler(this, (Integer count) -> {
+      writing = false;
+      waiting -= count;
+      if (!next.bytes.hasRemaining()) {
+        writes.poll();
+        next.written.run();
+      }
+      flush();
+    }));
+  }
+
+  /** Ends the connection once all that waits is written. */
+  public void closeAfterWrites() {
+    closing = true;
+    flush();
+  }
+
+  /**
+   * Guards against a reset that overtakes the last answer, as a close with unread bytes causes: our side is ended
+   * first, and what still comes is read and dropped until the peer ends its own.
+   */
+  private void linger() {
+    lingering = true;
+    try {
+      channel.shutdownOutput();
+      loop.after(LINGER, this::close);
+    } catch (IOException e) {
+      close();
+    }
+  }
+
+  public boolean isClosed() {
+    return closed;
+  }
+
+  /** Ends the connection at once. */
+  public void close() {
+    if (closed) {
+      return;
+    }
+    closed = true;
+    writes.clear();
+    try {
+      channel.close();
+    } catch (IOException e) {
+      LOG.log(Level.DEBUG, "a close failed", e);
+    }
+    loop.execute(owner::closed);
+  }
+}
--- /dev/null
+++ b/src/main/java/arrowford/net/HttpParser.java
@@ -0,0 +1,231 @@
+package arrowford.net;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+
+/**
+ * Reads HTTP/1.1 messages from bytes that come in any pieces. Heads and bodies are bounded; what breaks the
+ * grammar throws {@link HttpException}, after which the parser is of no more use.
+ */
+public final class HttpParser {
+  /** Bytes of a start line and headers together, and of a chunk's size line with its extensions. */
+  private static final int MOST_HEAD = 16 * 1024;
+  private static final int MOST_CHUNK_LINE = 256;
+
+  /** Told of a message as it comes in; the buffer of {@link #body} is only lent. */
+  public interface Sink {
+    void head(HttpHead head);
+
+    void body(ByteBuffer piece);
+
+    void end();
+  }
+
+  private enum State { START, HEADERS, FIXED, TO_CLOSE, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS }
+
+  private final boolean responses;
+  private final long mostBody;
+  private final Sink sink;
+  private final StringBuilder line = new StringBuilder();
+  private State state = State.START;
+  private int headBytes;
+  private String[] start;
+  private Map<String, String> headers = new HashMap<>();
+  private long left;
+  private long body;
+
+  /** A parser of requests or of responses whose bodies hold at most so many bytes. */
+  public HttpParser(boolean responses, long mostBody, Sink sink) {
+    this.responses = responses;
+    this.mostBody = mostBody;
+    this.sink = sink;
+  }
+
+  /** True between messages. */
+  public boolean idle() {
+    return state == State.START && line.length() == 0;
+  }
+
+  /** The connection has ended: true when that completes a message or falls between two. */
+  public boolean ended() {
+    if (state == State.TO_CLOSE) {
+      finish();
+      return true;
+    }
+    return idle();
+  }
+
+  /** Reads until the bytes are used up or one message has ended; true in the latter case. */
+  public boolean read(ByteBuffer in) {
+    while (in.hasRemaining() || state == State.FIXED && left == 0) {
+      if (step(in)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private boolean step(ByteBuffer in) {
+    switch (state) {
+      case START -> {
+        String text = takeLine(in, MOST_HEAD);
+        if (text != null && !text.isEmpty()) {
+          start = startLine(text);
+          state = State.HEADERS;
+        }
+      }
+      case HEADERS -> {
+        String text = takeLine(in, MOST_HEAD);
+        if (text != null && text.isEmpty()) {
+          return headDone();
+        } else if (text != null) {
+          header(text);
+        }
+      }
+      case FIXED, CHUNK, TO_CLOSE -> {
+        return piece(in);
+      }
+      case CHUNK_SIZE -> {
+        String text = takeLine(in, MOST_CHUNK_LINE);
+        if (text != null) {
+          left = chunkSize(text);
+          state = left == 0 ? State.TRAILERS : State.CHUNK;
+        }
+      }
+      case CHUNK_END -> {
+        String text = takeLine(in, MOST_CHUNK_LINE);
+        if (text != null) {
+          require(text.isEmpty(), "a chunk is longer than its size");
+          state = State.CHUNK_SIZE;
+        }
+      }
+      default -> {
+        String text = takeLine(in, MOST_HEAD);
+        if (text != null && text.isEmpty()) {
+          return finish();
+        }
+      }
+    }
+    return false;
+  }
+
+  private boolean piece(ByteBuffer in) {
+    int size = state == State.TO_CLOSE ? in.remaining() : (int) Math.min(left, in.remaining());
+    if (size > 0) {
+      grow(size);
+      ByteBuffer piece = in.slice(in.position(), size);
+      in.position(in.position() + size);
+      left -= size;
+      sink.body(piece);
+    }
+    if (state == State.CHUNK && left == 0) {
+      state = State.CHUNK_END;
+    }
+    return state == State.FIXED && left == 0 && finish();
+  }
+
+  private void grow(long size) {
+    body += size;
+    if (body > mostBody) {
+      throw new HttpException(413, "a body holds at most " + mostBody + " bytes");
+    }
+  }
+
+  /** A line without its end, or null while it is not complete. */
+  private String takeLine(ByteBuffer in, int most) {
+    while (in.hasRemaining()) {
+      char c = (char) (in.get() & 0xff);
+      if (++headBytes > MOST_HEAD || line.length() >= most) {
+        throw new HttpException(431, "a head holds at most " + most + " bytes");
+      }
+      if (c == '\n') {
+        int end = line.length();
+        String text = line.substring(0, end > 0 && line.charAt(end - 1) == '\r' ? end - 1 : end);
+        line.setLength(0);
+        if (state == State.CHUNK_SIZE || state == State.CHUNK_END) {
+          headBytes = 0;
+        }
+        return text;
+      }
+      line.append(c);
+    }
+    return null;
+  }
+
+  private String[] startLine(String text) {
+    String[] words = text.split(" ", 3);
+    if (responses) {
+      require(words.length >= 2 && words[0].startsWith("HTTP/1.") && words[1].matches("[1-5][0-9][0-9]"),
+          "not a status line");
+      return new String[] {words[0], words[1], words.length > 2 ? words[2] : ""};
+    }
+    require(words.length == 3 && words[0].matches("[A-Z]+") && words[1].startsWith("/"), "not a request line");
+    require(words[2].equals("HTTP/1.1") || words[2].equals("HTTP/1.0"), "not HTTP/1.1");
+    return words;
+  }
+
+  private void header(String text) {
+    int colon = text.indexOf(':');
+    require(colon > 0 && text.substring(0, colon).matches("[!#$%&'*+.^_`|~0-9A-Za-z-]+"), "not a header");
+    String name = text.substring(0, colon).toLowerCase(Locale.ROOT);
+    String value = text.substring(colon + 1).strip();
+    String before = headers.putIfAbsent(name, value);
+    // Guards against a body whose two ends disagree: a second length may not differ from the first.
+    require(before == null || before.equals(value) || !name.equals("content-length"), "two lengths");
+    if (before != null && !before.equals(value)) {
+      headers.put(name, before + (name.equals("cookie") ? "; " : ", ") + value);
+    }
+  }
+
+  private boolean headDone() {
+    HttpHead head = new HttpHead(start[0], start[1], start[2], Map.copyOf(headers));
+    String length = head.header("content-length");
+    String coding = head.header("transfer-encoding");
+    require(length == null || coding == null, "a length and a transfer coding together");
+    require(length == null || length.matches("[0-9]{1,12}"), "not a length");
+    require(coding == null || coding.equalsIgnoreCase("chunked"), "a transfer coding other than chunked");
+    boolean bodiless = responses && (start[1].startsWith("1") || start[1].equals("204") || start[1].equals("304"));
+    left = length == null || bodiless ? 0 : Long.parseLong(length);
+    if (left > mostBody) {
+      throw new HttpException(413, "a body holds at most " + mostBody + " bytes");
+    }
+    sink.head(head);
+    if (coding != null) {
+      headBytes = 0;
+      state = State.CHUNK_SIZE;
+    } else {
+      state = responses && length == null && !bodiless ? State.TO_CLOSE : State.FIXED;
+    }
+    return state == State.FIXED && left == 0 && finish();
+  }
+
+  private boolean finish() {
+    state = State.START;
+    headers = new HashMap<>();
+    headBytes = 0;
+    body = 0;
+    sink.end();
+    return true;
+  }
+
+  private static long chunkSize(String text) {
+    int end = text.indexOf(';');
+    String digits = (end < 0 ? text : text.substring(0, end)).strip();
+    require(digits.matches("[0-9A-Fa-f]{1,8}"), "not a chunk size");
+    return Long.parseLong(digits, 16);
+  }
+
+  private static void require(boolean holds, String otherwise) {
+    if (!holds) {
+      throw new HttpException(400, otherwise);
+    }
+  }
+
+  /** The text of bytes in UTF-8. */
+  public static String text(byte[] bytes) {
+    return new String(bytes, StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/src/main/java/arrowford/platform/Discovery.java
@@ -0,0 +1,135 @@
+package arrowford.platform;
+
+import arrowford.config.ConfigException;
+import arrowford.config.ServerList;
+import arrowford.net.Connection;
+import arrowford.net.EventLoop;
+import arrowford.net.HostPort;
+import arrowford.net.HttpException;
+import arrowford.net.HttpHead;
+import arrowford.net.HttpParser;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.lang.System.Logger.Level;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.function.Consumer;
+
+/** Watches discovery: one chunked answer that stays open, taken up again from the last revision when it ends. */
+public final class Discovery {
+  private static final System.Logger LOG = System.getLogger(Discovery.class.getName());
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final double CONNECT_TIMEOUT = 1000;
+  /** Ms until a watch that has ended is taken up again, at first and at most. */
+  private static final double GAP = 50;
+  private static final double GAP_MOST = 1000;
+  /** Ms without a line, one of which comes every 2 s, after which a watch is held for dead. */
+  private static final double SILENCE = 7000;
+  private static final int MOST_LINE = 1 << 20;
+
+  private final EventLoop loop;
+  private final HostPort at;
+  private final List<String> zones;
+  private final Consumer<ServerList> told;
+  private long revision;
+  private double gap = GAP;
+
+  public Discovery(EventLoop loop, HostPort at, List<String> zones, long revision, Consumer<ServerList> told) {
+    this.loop = loop;
+    this.at = at;
+    this.zones = zones;
+    this.revision = revision;
+    this.told = told;
+  }
+
+  /** Begins to watch, for good. */
+  public void start() {
+    new Watch().open();
+  }
+
+  private final class Watch implements Connection.Owner, HttpParser.Sink {
+    private final HttpParser parser = new HttpParser(true, Long.MAX_VALUE, this);
+    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private Connection connection;
+    private int heard;
+
+    void open() {
+      connection = Connection.open(loop, at, CONNECT_TIMEOUT, this, () -> {
+        String get = "GET /api/targets?watch=1&from=" + revision + " HTTP/1.1\r\nHost: " + at + "\r\n\r\n";
+        connection.write(ByteBuffer.wrap(get.getBytes(StandardCharsets.US_ASCII)), () -> { });
+        listen(heard);
+      });
+    }
+
+    private void listen(int before) {
+      loop.after(SILENCE, () -> {
+        if (heard == before) {
+          connection.close();
+        } else if (!connection.isClosed()) {
+          listen(heard);
+        }
+      });
+    }
+
+    @Override
+    public void received(ByteBuffer bytes) {
+      heard++;
+      try {
+        parser.read(bytes);
+      } catch (HttpException | ConfigException | UncheckedIOException e) {
+        LOG.log(Level.WARNING, "discovery sent what cannot be used: " + e.getMessage());
+        connection.close();
+      }
+    }
+
+    @Override
+    public void head(HttpHead head) {
+      if (head.status() != 200) {
+        throw new HttpException(502, "status " + head.status());
+      }
+    }
+
+    @Override
+    public void body(ByteBuffer piece) {
+      while (piece.hasRemaining()) {
+        byte b = piece.get();
+        if (b == '\n') {
+          take(line.toByteArray());
+          line.reset();
+        } else if (line.size() >= MOST_LINE) {
+          throw new HttpException(502, "a line holds at most " + MOST_LINE + " bytes");
+        } else {
+          line.write(b);
+        }
+      }
+    }
+
+    private void take(byte[] text) {
+      if (new String(text, StandardCharsets.UTF_8).isBlank()) {
+        return;
+      }
+      try {
+        ServerList list = ServerList.read(MAPPER.readTree(text), zones);
+        told.accept(list);
+        revision = list.revision();
+        gap = GAP;
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
+
+    @Override
+    public void end() {
+      connection.close();
+    }
+
+    @Override
+    public void closed() {
+      loop.after(gap, new Watch()::open);
+      gap = Math.min(2 * gap, GAP_MOST);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/arrowford/platform/PlatformQuery.java
@@ -0,0 +1,97 @@
+package arrowford.platform;
+
+import arrowford.Settings;
+import arrowford.broker.Payload;
+import arrowford.broker.Request;
+import arrowford.net.HttpException;
+import arrowford.net.HttpServer;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.regex.Pattern;
+
+/** A client's query as the platform words it, decoded once. {@code token} is null outside the keyed classes. */
+record PlatformQuery(
+    String id, int requestClass, double timeLeft, boolean retry, String token, String filter,
+    List<Request.Slice> slices, HttpServer.Exchange exchange) implements Payload {
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  /** Ids and tokens stand in the head line of a frame, where a space, a comma or a line end would cut them off. */
+  private static final Pattern WORD = Pattern.compile("[!-+\\--~]{1,128}");
+
+  /** Reads a request; throws HttpException with the status its sender is due. */
+  static PlatformQuery read(HttpServer.Request in, Settings settings, HttpServer.Exchange exchange) {
+    int requestClass = requestClass(in.head().target(), settings);
+    if (!in.head().method().equals("POST")) {
+      throw new HttpException(405, "a query is a POST");
+    }
+    Settings.QueryClass kind = settings.classes().get(requestClass);
+    String token = kind.effect() == Settings.Effect.SAFE ? null : word(in, "Idempotency-Key");
+    JsonNode body = body(in.body());
+    JsonNode filter = body.path("filter");
+    require(filter.isTextual(), "'filter' is not text");
+    return new PlatformQuery(word(in, "Request-Id"), requestClass, timeLeft(in, kind),
+        "1".equals(in.head().header("Client-Retry")), token, filter.textValue(),
+        slices(body.path("slices"), settings.layout().shards()), exchange);
+  }
+
+  private static int requestClass(String target, Settings settings) {
+    String name = target.substring(1).split("[/?]", 2)[0];
+    for (int i = 0; i < settings.classes().size(); i++) {
+      if (settings.classes().get(i).name().equals(name)) {
+        return i;
+      }
+    }
+    throw new HttpException(404, "no class is called so");
+  }
+
+  private static String word(HttpServer.Request in, String header) {
+    String value = in.head().header(header);
+    require(value != null && WORD.matcher(value).matches(), header + " is missing or not one word");
+    return value;
+  }
+
+  private static double timeLeft(HttpServer.Request in, Settings.QueryClass kind) {
+    String seconds = in.head().header("Request-Timeout");
+    if (seconds == null) {
+      return kind.deadline();
+    }
+    require(seconds.matches("[0-9]{1,6}(\\.[0-9]{1,9})?"), "Request-Timeout is not a number of seconds");
+    return 1000 * Double.parseDouble(seconds);
+  }
+
+  private static JsonNode body(byte[] bytes) {
+    try {
+      JsonNode body = MAPPER.readTree(bytes);
+      require(body != null && body.isObject(), "the body is not a JSON object");
+      return body;
+    } catch (IOException e) {
+      throw new HttpException(400, "the body is not JSON");
+    }
+  }
+
+  private static List<Request.Slice> slices(JsonNode in, int shards) {
+    require(in.isArray() && !in.isEmpty(), "'slices' is not a list of parts");
+    List<Request.Slice> slices = new ArrayList<>();
+    Set<Integer> seen = new HashSet<>();
+    for (JsonNode s : in) {
+      JsonNode shard = s.path("slice");
+      JsonNode mass = s.path("mass");
+      require(shard.isInt() && shard.intValue() >= 0 && shard.intValue() < shards, "'slice' is no shard");
+      require(seen.add(shard.intValue()), "a 'slice' comes twice");
+      require(mass.isNumber() && mass.doubleValue() >= 0, "'mass' is not a weight");
+      slices.add(new Request.Slice(shard.intValue(), mass.doubleValue(), s.path("micros").asDouble(0) / 1000));
+    }
+    return List.copyOf(slices);
+  }
+
+  private static void require(boolean holds, String otherwise) {
+    if (!holds) {
+      throw new HttpException(400, otherwise);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/arrowford/platform/QueryFront.java
@@ -0,0 +1,104 @@
+package arrowford.platform;
+
+import arrowford.Settings;
+import arrowford.broker.Broker;
+import arrowford.broker.Effect;
+import arrowford.broker.Event;
+import arrowford.broker.Payload;
+import arrowford.broker.Request;
+import arrowford.net.HttpException;
+import arrowford.net.HttpParser;
+import arrowford.net.HttpServer;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+
+/** The platform's client side: queries in, final answers out, and the probe for readiness. */
+public final class QueryFront implements HttpServer.Handler {
+  private static final JsonFactory JSON = new JsonFactory();
+
+  private final Settings settings;
+  private final Broker broker;
+  private final SlotServers servers;
+  private final BooleanSupplier ready;
+
+  public QueryFront(Settings settings, Broker broker, SlotServers servers, BooleanSupplier ready) {
+    this.settings = settings;
+    this.broker = broker;
+    this.servers = servers;
+    this.ready = ready;
+    servers.answersTo(this::reply);
+  }
+
+  @Override
+  public void handle(HttpServer.Request request, HttpServer.Exchange exchange) {
+    String path = request.head().target().split("\\?", 2)[0];
+    if (path.startsWith("/-/")) {
+      boolean good = path.equals("/-/healthy") || path.equals("/-/ready") && ready.getAsBoolean();
+      exchange.reply(plain(good ? 200 : path.equals("/-/ready") ? 503 : 404, good ? "ok" : "no"));
+      return;
+    }
+    try {
+      PlatformQuery query = PlatformQuery.read(request, settings, exchange);
+      long id = broker.nextId();
+      exchange.onGone(() -> broker.submit(new Event.Left(id)));
+      broker.submit(new Event.Taken(new Request(id, servers, query.requestClass(), query.timeLeft(), query.retry(),
+          query.slices(), query)));
+    } catch (HttpException e) {
+      exchange.reply(unusable(e.status(), e.getMessage()));
+    }
+  }
+
+  @Override
+  public HttpServer.Response unusable(int status, String reason) {
+    return plain(status, reason);
+  }
+
+  private static HttpServer.Response plain(int status, String text) {
+    return new HttpServer.Response(status, Map.of("Content-Type", "text/plain; charset=utf-8"),
+        text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private void reply(Effect.Reply reply) {
+    PlatformQuery query = (PlatformQuery) reply.request().payload();
+    query.exchange().reply(response(reply));
+  }
+
+  private static HttpServer.Response response(Effect.Reply reply) {
+    if (reply.answer() instanceof Effect.Answer.Answered a) {
+      return new HttpServer.Response(200, Map.of("Content-Type", "application/json"), body(reply.request(), a));
+    }
+    if (reply.answer() instanceof Effect.Answer.Refused r) {
+      HttpServer.Response refusal = plain(429, "refused: asking again is harmless");
+      return r.pause() <= 0 ? refusal : new HttpServer.Response(refusal.status(),
+          Map.of("Retry-After", String.format(Locale.ROOT, "%.3f", r.pause() / 1000)), refusal.body());
+    }
+    return plain(500, "failed");
+  }
+
+  private static byte[] body(Request request, Effect.Answer.Answered answer) {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    try (JsonGenerator out = JSON.createGenerator(bytes)) {
+      out.writeStartObject();
+      out.writeBooleanField("entire", answer.whole());
+      out.writeArrayFieldStart("items");
+      for (Map.Entry<Integer, Payload> in : answer.values().entrySet()) {
+        out.writeStartObject();
+        out.writeNumberField("slice", request.slices().get(in.getKey()).shard());
+        out.writeStringField("body", HttpParser.text(((PartValue) in.getValue()).bytes()));
+        out.writeEndObject();
+      }
+      out.writeEndArray();
+      out.writeEndObject();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    return bytes.toByteArray();
+  }
+}
--- /dev/null
+++ b/src/main/java/arrowford/platform/SlotServers.java
@@ -0,0 +1,270 @@
+package arrowford.platform;
+
+import arrowford.Router.Outcome;
+import arrowford.broker.AttemptId;
+import arrowford.broker.Broker;
+import arrowford.broker.Dialect;
+import arrowford.broker.Effect;
+import arrowford.broker.Event;
+import arrowford.broker.Request;
+import arrowford.net.Connection;
+import arrowford.net.EventLoop;
+import arrowford.net.FrameCodec;
+import arrowford.net.HostPort;
+import java.lang.System.Logger.Level;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** The platform's way to the slot servers: frames over a few connections to each, many parts on one. */
+public final class SlotServers implements Dialect {
+  private static final System.Logger LOG = System.getLogger(SlotServers.class.getName());
+  /** Share of the servers' idle time after which we close a connection first, so that no call meets their close. */
+  private static final double IDLE_SHARE = 0.8;
+
+  private final EventLoop loop;
+  private final Broker broker;
+  private final int streams;
+  private final double idleAfter;
+  private final double connectTimeout;
+  private final int mostLinks;
+  private final Map<String, HostPort> addresses = new HashMap<>();
+  private final Map<String, List<Link>> links = new HashMap<>();
+  private final Map<AttemptId, Link> out = new HashMap<>();
+  private Consumer<Effect.Reply> answers;
+  private int open;
+
+  public SlotServers(
+      EventLoop loop, Broker broker, int streams, double keepalive, double connectTimeout, int mostLinks) {
+    this.loop = loop;
+    this.broker = broker;
+    this.streams = streams;
+    this.idleAfter = keepalive * IDLE_SHARE;
+    this.connectTimeout = connectTimeout;
+    this.mostLinks = mostLinks;
+  }
+
+  void answersTo(Consumer<Effect.Reply> answers) {
+    this.answers = answers;
+  }
+
+  /** Notes where a server is reached. */
+  public void address(String server, HostPort at) {
+    HostPort before = addresses.put(server, at);
+    if (before != null && !before.equals(at)) {
+      closeIdle(server);
+    }
+  }
+
+  @Override
+  public void reply(Effect.Reply reply) {
+    answers.accept(reply);
+  }
+
+  @Override
+  public void start(Effect.Start attempt) {
+    HostPort at = addresses.get(attempt.server());
+    Link link = at == null ? null : link(attempt.server(), at);
+    if (link == null) {
+      loop.execute(() -> broker.submit(new Event.Ended(attempt.id(), Outcome.UNREACHABLE, null)));
+      return;
+    }
+    out.put(attempt.id(), link);
+    link.call(attempt);
+  }
+
+  /** A connection with room, else a fresh one; null where no more may be opened. */
+  private Link link(String server, HostPort at) {
+    List<Link> all = links.computeIfAbsent(server, s -> new ArrayList<>());
+    for (Link l : all) {
+      if (l.calls.size() < streams && l.at.equals(at)) {
+        return l;
+      }
+    }
+    if (open >= mostLinks) {
+      LOG.log(Level.WARNING, "no descriptor to spare for another connection to " + server);
+      return null;
+    }
+    Link fresh = new Link(server, at);
+    all.add(fresh);
+    return fresh;
+  }
+
+  @Override
+  public void abandon(Effect.Abandon attempt) {
+    Link link = out.get(attempt.id());
+    if (link != null) {
+      link.abandon(attempt.id());
+    }
+  }
+
+  @Override
+  public void closeIdle(String server) {
+    for (Link l : List.copyOf(links.getOrDefault(server, List.of()))) {
+      if (l.calls.isEmpty()) {
+        l.close();
+      }
+    }
+  }
+
+  @Override
+  public void probe(String server) {
+    broker.submit(new Event.Probed(server, false, 0));
+  }
+
+  private static final class Call {
+    final String id;
+    final ByteBuffer frame;
+    boolean written;
+
+    Call(String id, ByteBuffer frame) {
+      this.id = id;
+      this.frame = frame;
+    }
+  }
+
+  /** One connection to a slot server. */
+  private final class Link implements Connection.Owner {
+    private final String server;
+    private final HostPort at;
+    private final FrameCodec codec = new FrameCodec();
+    private final Map<AttemptId, Call> calls = new LinkedHashMap<>();
+    private final Map<String, AttemptId> byId = new HashMap<>();
+    private final Connection connection;
+    private boolean up;
+    private int uses;
+
+    Link(String server, HostPort at) {
+      this.server = server;
+      this.at = at;
+      open++;
+      connection = Connection.open(loop, at, connectTimeout, this, () -> {
+        up = true;
+        List.copyOf(calls.entrySet()).forEach(e -> write(e.getKey(), e.getValue()));
+      });
+    }
+
+    void call(Effect.Start attempt) {
+      uses++;
+      PlatformQuery query = (PlatformQuery) attempt.request().payload();
+      Request.Slice slice = query.slices().get(attempt.slice());
+      String id = query.id() + "." + slice.shard();
+      byte[] text = query.filter().getBytes(StandardCharsets.UTF_8);
+      String line = id + " " + slice.shard() + " d=" + Math.max(1, Math.round(attempt.timeout()))
+          + (query.token() == null ? "" : ",k=" + query.token()) + " " + text.length + "\n";
+      byte[] head = line.getBytes(StandardCharsets.US_ASCII);
+      byte[] rest = ByteBuffer.allocate(head.length + text.length).put(head).put(text).array();
+      Call call = new Call(id, FrameCodec.encode('1', rest));
+      calls.put(attempt.id(), call);
+      byId.put(id, attempt.id());
+      if (up) {
+        write(attempt.id(), call);
+      }
+    }
+
+    private void write(AttemptId attempt, Call call) {
+      connection.write(call.frame, () -> call.written = true);
+    }
+
+    void abandon(AttemptId attempt) {
+      Call call = calls.get(attempt);
+      if (!up) {
+        // Not a byte of it has gone, and none will.
+        remove(attempt);
+        broker.submit(new Event.Abandoned(attempt));
+        return;
+      }
+      connection.write(FrameCodec.encode('2', call.id.getBytes(StandardCharsets.US_ASCII)), () -> {
+        // The end counts only now: the next attempt must not reach a server ahead of this word.
+        if (calls.containsKey(attempt)) {
+          remove(attempt);
+          broker.submit(new Event.Abandoned(attempt));
+        }
+      });
+    }
+
+    private Call remove(AttemptId attempt) {
+      Call call = calls.remove(attempt);
+      byId.remove(call.id, attempt);
+      out.remove(attempt);
+      if (calls.isEmpty()) {
+        int before = uses;
+        loop.after(idleAfter, () -> {
+          if (uses == before && calls.isEmpty()) {
+            close();
+          }
+        });
+      }
+      return call;
+    }
+
+    void close() {
+      links.getOrDefault(server, List.of()).remove(this);
+      connection.close();
+    }
+
+    @Override
+    public void received(ByteBuffer bytes) {
+      try {
+        codec.read(bytes, this::frame);
+      } catch (IllegalArgumentException e) {
+        // Guards against garbage: it ends this connection and nothing else.
+        LOG.log(Level.WARNING, server + " sent what cannot be used: " + e.getMessage());
+        close();
+      }
+    }
+
+    private void frame(FrameCodec.Frame frame) {
+      switch (frame.letter()) {
+        case '5' -> ended(frame.rest());
+        case '3', '4' -> { }
+        case 'X' -> {
+          LOG.log(Level.WARNING, server + " refuses a frame: " + new String(frame.rest(), StandardCharsets.UTF_8));
+          close();
+        }
+        default -> throw new IllegalArgumentException("a frame '" + frame.letter() + "'");
+      }
+    }
+
+    private void ended(byte[] rest) {
+      int line = 0;
+      while (line < rest.length && rest[line] != '\n') {
+        line++;
+      }
+      String[] words = new String(rest, 0, line, StandardCharsets.US_ASCII).split(" ");
+      if (line == rest.length || words.length < 2) {
+        throw new IllegalArgumentException("an answer without a head");
+      }
+      AttemptId attempt = byId.get(words[0]);
+      if (attempt == null) {
+        return; // given up before; the answer crossed our word
+      }
+      Outcome outcome = switch (words[1]) {
+        case "S" -> Outcome.OK;
+        case "E" -> Outcome.ERROR;
+        case "B" -> Outcome.FULL;
+        default -> throw new IllegalArgumentException("an answer that ends '" + words[1] + "'");
+      };
+      remove(attempt);
+      byte[] value = java.util.Arrays.copyOfRange(rest, line + 1, rest.length);
+      broker.submit(new Event.Ended(attempt, outcome, outcome == Outcome.OK ? new PartValue(value) : null));
+    }
+
+    @Override
+    public void closed() {
+      open--;
+      links.getOrDefault(server, List.of()).remove(this);
+      Map<AttemptId, Call> left = new LinkedHashMap<>(calls);
+      left.forEach((attempt, call) -> {
+        remove(attempt);
+        // Whether the last byte had gone decides if the part may have run.
+        broker.submit(new Event.Ended(attempt, call.written ? Outcome.RESET : Outcome.UNREACHABLE, null));
+      });
+    }
+  }
+}
--- a/src/main/java/arrowford/wirehost/Host.java
+++ b/src/main/java/arrowford/wirehost/Host.java
@@ -1,13 +1,15 @@
 package arrowford.wirehost;
 
-import static arrowford.wirehost.Fields.flag;
-import static arrowford.wirehost.Fields.integer;
-import static arrowford.wirehost.Fields.need;
-import static arrowford.wirehost.Fields.number;
-import static arrowford.wirehost.Fields.text;
+import static arrowford.config.Fields.flag;
+import static arrowford.config.Fields.integer;
+import static arrowford.config.Fields.need;
+import static arrowford.config.Fields.number;
+import static arrowford.config.Fields.text;
 
 import arrowford.Policy;
 import arrowford.Router;
+import arrowford.config.ConfigException;
+import arrowford.config.SettingsReader;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -44,6 +46,8 @@
       out.writeEndObject();
       out.close();
       return text.toString();
+    } catch (ConfigException e) {
+      throw new WireException(e.getMessage());
     } catch (JsonProcessingException e) {
       throw new WireException("not JSON: " + e.getOriginalMessage());
     } catch (IOException e) {
@@ -75,7 +79,7 @@
   private static void guarded(int who, WireActions out, Runnable step) {
     try {
       step.run();
-    } catch (WireException e) {
+    } catch (WireException | ConfigException e) {
       throw e;
     } catch (RuntimeException e) {
       StackTraceElement[] at = e.getStackTrace();
