--- a/src/main/java/arrowford/Main.java
+++ b/src/main/java/bitternpulley/Main.java
@@ -1,4 +1,4 @@
-package arrowford;
+package bitternpulley;
 
 import java.io.IOException;
 
@@ -10,9 +10,9 @@
     String what = args.length == 1 ? args[0] : "";
     switch (what) {
       case "serve" -> Aggregator.main();
-      case "wirehost" -> arrowford.wirehost.Main.main(args);
+      case "simhost" -> bitternpulley.simhost.Main.main(args);
       default -> {
-        System.err.println("usage: serve | wirehost");
+        System.err.println("usage: serve | simhost");
         System.exit(2);
       }
     }
--- a/src/main/java/arrowford/broker/Broker.java
+++ b/src/main/java/bitternpulley/broker/Broker.java
@@ -1,4 +1,4 @@
-package arrowford.broker;
+package bitternpulley.broker;
 
 import java.lang.System.Logger.Level;
 import java.util.ArrayDeque;
--- a/src/main/java/arrowford/broker/Clock.java
+++ b/src/main/java/bitternpulley/broker/Clock.java
@@ -1,4 +1,4 @@
-package arrowford.broker;
+package bitternpulley.broker;
 
 /** The time in milliseconds; what the whole program goes by, so that a test can set it. */
 public interface Clock {
--- a/src/main/java/arrowford/broker/Dialect.java
+++ b/src/main/java/bitternpulley/broker/Dialect.java
@@ -1,4 +1,4 @@
-package arrowford.broker;
+package bitternpulley.broker;
 
 /** A wire, seen from the core: it carries out attempts and delivers answers. Calls never block. */
 public interface Dialect {
--- a/src/main/java/arrowford/broker/Effect.java
+++ b/src/main/java/bitternpulley/broker/Effect.java
@@ -1,4 +1,4 @@
-package arrowford.broker;
+package bitternpulley.broker;
 
 import java.util.Map;
 
--- a/src/main/java/arrowford/broker/Event.java
+++ b/src/main/java/bitternpulley/broker/Event.java
@@ -1,6 +1,6 @@
-package arrowford.broker;
+package bitternpulley.broker;
 
-import arrowford.Router;
+import bitternpulley.policy.Router;
 import java.util.List;
 
 /** What can happen to the core. */
--- a/src/main/java/arrowford/broker/Reducer.java
+++ b/src/main/java/bitternpulley/broker/Reducer.java
@@ -1,8 +1,8 @@
-package arrowford.broker;
+package bitternpulley.broker;
 
-import arrowford.Policy;
-import arrowford.Router;
-import arrowford.Settings;
+import bitternpulley.policy.Policy;
+import bitternpulley.policy.Router;
+import bitternpulley.policy.Settings;
 import java.lang.System.Logger.Level;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
--- a/src/main/java/arrowford/config/ConfigException.java
+++ b/src/main/java/bitternpulley/config/ConfigException.java
@@ -1,4 +1,4 @@
-package arrowford.config;
+package bitternpulley.config;
 
 /** A setting or field that cannot be used; the message names the key. */
 public final class ConfigException extends RuntimeException {
--- a/src/main/java/arrowford/config/Configuration.java
+++ b/src/main/java/bitternpulley/config/Configuration.java
@@ -1,7 +1,7 @@
-package arrowford.config;
+package bitternpulley.config;
 
-import arrowford.Settings;
-import arrowford.net.HostPort;
+import bitternpulley.policy.Settings;
+import bitternpulley.net.HostPort;
 import java.util.List;
 
 /** All that one aggregator is told at its start, checked. {@code known} is the list it last held. */
--- a/src/main/java/arrowford/config/ConfigurationReader.java
+++ b/src/main/java/bitternpulley/config/ConfigurationReader.java
@@ -1,6 +1,6 @@
-package arrowford.config;
+package bitternpulley.config;
 
-import arrowford.net.HostPort;
+import bitternpulley.net.HostPort;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
--- a/src/main/java/arrowford/config/Fields.java
+++ b/src/main/java/bitternpulley/config/Fields.java
@@ -1,4 +1,4 @@
-package arrowford.config;
+package bitternpulley.config;
 
 import com.fasterxml.jackson.databind.JsonNode;
 
--- a/src/main/java/arrowford/config/ServerList.java
+++ b/src/main/java/bitternpulley/config/ServerList.java
@@ -1,13 +1,13 @@
-package arrowford.config;
+package bitternpulley.config;
 
-import static arrowford.config.Fields.figure;
-import static arrowford.config.Fields.flag;
-import static arrowford.config.Fields.need;
-import static arrowford.config.Fields.number;
-import static arrowford.config.Fields.text;
+import static bitternpulley.config.Fields.figure;
+import static bitternpulley.config.Fields.flag;
+import static bitternpulley.config.Fields.need;
+import static bitternpulley.config.Fields.number;
+import static bitternpulley.config.Fields.text;
 
-import arrowford.Router;
-import arrowford.net.HostPort;
+import bitternpulley.policy.Router;
+import bitternpulley.net.HostPort;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.List;
--- a/src/main/java/arrowford/config/SettingsReader.java
+++ b/src/main/java/bitternpulley/config/SettingsReader.java
@@ -1,9 +1,9 @@
-package arrowford.config;
+package bitternpulley.config;
 
-import static arrowford.config.Fields.figure;
-import static arrowford.config.Fields.flag;
+import static bitternpulley.config.Fields.figure;
+import static bitternpulley.config.Fields.flag;
 
-import arrowford.Settings;
+import bitternpulley.policy.Settings;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.util.ArrayList;
--- a/src/main/java/arrowford/net/EventLoop.java
+++ b/src/main/java/bitternpulley/net/EventLoop.java
@@ -1,4 +1,4 @@
-package arrowford.net;
+package bitternpulley.net;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
--- a/src/main/java/arrowford/net/FrameCodec.java
+++ b/src/main/java/bitternpulley/net/FrameCodec.java
@@ -1,4 +1,4 @@
-package arrowford.net;
+package bitternpulley.net;
 
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
--- a/src/main/java/arrowford/net/HostPort.java
+++ b/src/main/java/bitternpulley/net/HostPort.java
@@ -1,4 +1,4 @@
-package arrowford.net;
+package bitternpulley.net;
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
--- a/src/main/java/arrowford/net/HttpException.java
+++ b/src/main/java/bitternpulley/net/HttpException.java
@@ -1,4 +1,4 @@
-package arrowford.net;
+package bitternpulley.net;
 
 /** A message that breaks HTTP/1.1 or a bound of ours; {@code status} is what its sender should be told. */
 public final class HttpException extends RuntimeException {
--- a/src/main/java/arrowford/net/HttpHead.java
+++ b/src/main/java/bitternpulley/net/HttpHead.java
@@ -1,4 +1,4 @@
-package arrowford.net;
+package bitternpulley.net;
 
 import java.util.Locale;
 import java.util.Map;
--- a/src/main/java/arrowford/platform/Discovery.java
+++ b/src/main/java/bitternpulley/platform/Discovery.java
@@ -1,13 +1,13 @@
-package arrowford.platform;
+package bitternpulley.platform;
 
-import arrowford.config.ConfigException;
-import arrowford.config.ServerList;
-import arrowford.net.Connection;
-import arrowford.net.EventLoop;
-import arrowford.net.HostPort;
-import arrowford.net.HttpException;
-import arrowford.net.HttpHead;
-import arrowford.net.HttpParser;
+import bitternpulley.config.ConfigException;
+import bitternpulley.config.ServerList;
+import bitternpulley.net.Connection;
+import bitternpulley.net.EventLoop;
+import bitternpulley.net.HostPort;
+import bitternpulley.net.HttpException;
+import bitternpulley.net.HttpHead;
+import bitternpulley.net.HttpParser;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
--- a/src/main/java/arrowford/platform/PartValue.java
+++ b/src/main/java/bitternpulley/platform/PartValue.java
@@ -1,6 +1,6 @@
-package arrowford.platform;
+package bitternpulley.platform;
 
-import arrowford.broker.Payload;
+import bitternpulley.broker.Payload;
 
 /** The value of a part as a slot server gave it. */
 record PartValue(byte[] bytes) implements Payload {}
--- a/src/main/java/arrowford/platform/PlatformQuery.java
+++ b/src/main/java/bitternpulley/platform/PlatformQuery.java
@@ -1,10 +1,10 @@
-package arrowford.platform;
+package bitternpulley.platform;
 
-import arrowford.Settings;
-import arrowford.broker.Payload;
-import arrowford.broker.Request;
-import arrowford.net.HttpException;
-import arrowford.net.HttpServer;
+import bitternpulley.policy.Settings;
+import bitternpulley.broker.Payload;
+import bitternpulley.broker.Request;
+import bitternpulley.net.HttpException;
+import bitternpulley.net.HttpServer;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
--- a/src/main/java/arrowford/platform/QueryFront.java
+++ b/src/main/java/bitternpulley/platform/QueryFront.java
@@ -1,14 +1,14 @@
-package arrowford.platform;
+package bitternpulley.platform;
 
-import arrowford.Settings;
-import arrowford.broker.Broker;
-import arrowford.broker.Effect;
-import arrowford.broker.Event;
-import arrowford.broker.Payload;
-import arrowford.broker.Request;
-import arrowford.net.HttpException;
-import arrowford.net.HttpParser;
-import arrowford.net.HttpServer;
+import bitternpulley.policy.Settings;
+import bitternpulley.broker.Broker;
+import bitternpulley.broker.Effect;
+import bitternpulley.broker.Event;
+import bitternpulley.broker.Payload;
+import bitternpulley.broker.Request;
+import bitternpulley.net.HttpException;
+import bitternpulley.net.HttpParser;
+import bitternpulley.net.HttpServer;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.ByteArrayOutputStream;
--- a/src/main/java/arrowford/Policy.java
+++ b/src/main/java/bitternpulley/policy/Policy.java
@@ -1,12 +1,12 @@
 // The interface of this module is Router.java: events in, Actions out. Settings.java is what it starts with.
-// Every decision, table and tuned value of arrowford is in this file; docs/design.md tells their origin.
-package arrowford;
-
-import arrowford.State.Attempt;
-import arrowford.State.PartState;
-import arrowford.State.QueryState;
-import arrowford.State.Server;
-import arrowford.State.Way;
+// Every decision, table and tuned value of bitternpulley is in this file; docs/design.md tells their origin.
+package bitternpulley.policy;
+
+import bitternpulley.policy.State.Attempt;
+import bitternpulley.policy.State.PartState;
+import bitternpulley.policy.State.QueryState;
+import bitternpulley.policy.State.Server;
+import bitternpulley.policy.State.Way;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
--- a/src/main/java/arrowford/Settings.java
+++ b/src/main/java/bitternpulley/policy/Settings.java
@@ -1,4 +1,4 @@
-package arrowford;
+package bitternpulley.policy;
 
 import java.util.List;
 
--- a/src/main/java/arrowford/wirehost/Host.java
+++ b/src/main/java/bitternpulley/simhost/Host.java
@@ -1,15 +1,15 @@
-package arrowford.wirehost;
+package bitternpulley.simhost;
 
-import static arrowford.config.Fields.flag;
-import static arrowford.config.Fields.integer;
-import static arrowford.config.Fields.need;
-import static arrowford.config.Fields.number;
-import static arrowford.config.Fields.text;
+import static bitternpulley.config.Fields.flag;
+import static bitternpulley.config.Fields.integer;
+import static bitternpulley.config.Fields.need;
+import static bitternpulley.config.Fields.number;
+import static bitternpulley.config.Fields.text;
 
-import arrowford.Policy;
-import arrowford.Router;
-import arrowford.config.ConfigException;
-import arrowford.config.SettingsReader;
+import bitternpulley.policy.Policy;
+import bitternpulley.policy.Router;
+import bitternpulley.config.ConfigException;
+import bitternpulley.config.SettingsReader;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
--- a/src/main/java/arrowford/wirehost/Main.java
+++ b/src/main/java/bitternpulley/simhost/Main.java
@@ -1,4 +1,4 @@
-package arrowford.wirehost;
+package bitternpulley.simhost;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -24,7 +24,7 @@
       try {
         out.write(host.reply(line));
       } catch (WireException e) {
-        System.err.println("arrowford: batch " + batch + ": " + e.getMessage());
+        System.err.println("bitternpulley: batch " + batch + ": " + e.getMessage());
         System.exit(2);
       }
       out.write('\n');
--- a/src/main/java/arrowford/wirehost/WireActions.java
+++ b/src/main/java/bitternpulley/simhost/WireActions.java
@@ -1,6 +1,6 @@
-package arrowford.wirehost;
+package bitternpulley.simhost;
 
-import arrowford.Router;
+import bitternpulley.policy.Router;
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
 import java.io.UncheckedIOException;
--- a/src/main/java/arrowford/wirehost/WireException.java
+++ b/src/main/java/bitternpulley/simhost/WireException.java
@@ -1,4 +1,4 @@
-package arrowford.wirehost;
+package bitternpulley.simhost;
 
 /** Wire text or settings that cannot be used; the message names the field. */
 public final class WireException extends RuntimeException {
--- a/src/test/java/arrowford/PolicyTest.java
+++ b/src/test/java/bitternpulley/policy/PolicyTest.java
@@ -1,4 +1,4 @@
-package arrowford;
+package bitternpulley.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- a/src/test/java/arrowford/SourceLimitsTest.java
+++ b/src/test/java/bitternpulley/policy/SourceLimitsTest.java
@@ -1,4 +1,4 @@
-package arrowford;
+package bitternpulley.policy;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -10,7 +10,7 @@
 
 /** The limits that the users set on the decision module. */
 class SourceLimitsTest {
-  private static final Path POLICY = Path.of("src/main/java/arrowford/Policy.java");
+  private static final Path POLICY = Path.of("src/main/java/bitternpulley/policy/Policy.java");
 
   @Test
   void policyStaysReadable() throws IOException {
@@ -23,9 +23,9 @@
   @Test
   void policyKnowsNothingOfTheAdapter() throws IOException {
     String text = Files.readString(POLICY);
-    assertTrue(!text.contains("wirehost") && !text.contains("jackson"));
+    assertTrue(!text.contains("simhost") && !text.contains("jackson"));
     assertTrue(text.startsWith("// The interface of this module is Router.java"));
     assertTrue(Files.readString(Path.of("deploy/balancer.toml"))
-        .contains("policy = [\"src/main/java/arrowford/Policy.java\"]"));
+        .contains("policy = [\"src/main/java/bitternpulley/policy/Policy.java\"]"));
   }
 }
--- a/src/test/java/arrowford/wirehost/HostTest.java
+++ b/src/test/java/bitternpulley/simhost/HostTest.java
@@ -1,4 +1,4 @@
-package arrowford.wirehost;
+package bitternpulley.simhost;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
