Add the OpenSearch-style front: _search and _msearch on the same core

A search falls into one part for each section of each index; parts go to slot servers over the same API, hits are merged by score. The module learns of terms a client sets itself (whole only, a time of its own); the reducer reports what became of missing parts. Tests of this front follow; until then only the build and the older tests speak for it.

--- a/src/main/java/bitternpulley/Aggregator.java
+++ b/src/main/java/bitternpulley/Aggregator.java
@@ -7,15 +7,22 @@
 import bitternpulley.config.ConfigException;
 import bitternpulley.config.Configuration;
 import bitternpulley.config.ConfigurationReader;
+import bitternpulley.config.SearchConfiguration;
+import bitternpulley.config.SearchConfigurationReader;
 import bitternpulley.config.ServerList;
 import bitternpulley.net.EventLoop;
+import bitternpulley.net.HostPort;
+import bitternpulley.net.HttpClient;
 import bitternpulley.net.HttpServer;
+import bitternpulley.opensearch.SearchFront;
+import bitternpulley.opensearch.SearchServers;
 import bitternpulley.platform.Discovery;
 import bitternpulley.platform.QueryFront;
 import bitternpulley.platform.SlotServers;
 import bitternpulley.policy.Router;
 import java.io.IOException;
 import java.lang.System.Logger.Level;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 
 /** One real aggregator: puts the parts together, and takes them out of service on SIGTERM. */
@@ -36,32 +43,46 @@
   private final Broker broker;
   private final SlotServers servers;
   private final HttpServer front;
+  private final Optional<SearchSide> search;
   private boolean anyServer;
   private boolean draining;
 
-  private Aggregator(Configuration config) {
+  /** The second front, where one is configured: its servers, its listener and the address of that. */
+  private record SearchSide(SearchServers servers, HttpServer front, HostPort listen) {}
+
+  private Aggregator(Configuration config, Optional<SearchConfiguration> searchConfig) {
     this.config = config;
     Clock clock = Clock.system();
     broker = new Broker(new Reducer(config.settings(), config.seed(), clock.now()), clock, loop::after);
-    // Half of what is left goes to clients, half to slot servers.
-    int share = (config.sockets() - RESERVE) / 2;
-    servers = new SlotServers(loop, broker, config.wire().streams(), config.wire().keepalive(),
-        config.settings().limits().connectTimeout(), share);
+    // Each listener and each way to the slot servers gets an equal share of the descriptors.
+    int share = (config.sockets() - RESERVE) / (searchConfig.isPresent() ? 4 : 2);
+    double connectTimeout = config.settings().limits().connectTimeout();
+    servers = new SlotServers(loop, broker, config.wire(), connectTimeout, share);
     broker.add(servers);
     front = new HttpServer(loop, MOST_BODY, share,
         new QueryFront(config.settings(), broker, servers, () -> anyServer && !draining));
+    search = searchConfig.map(c -> searchSide(c, clock, connectTimeout, share));
+  }
+
+  private SearchSide searchSide(SearchConfiguration c, Clock clock, double connectTimeout, int share) {
+    HttpClient client = new HttpClient(loop, c.maxPartBytes(), share, connectTimeout, config.wire().idleAfter());
+    SearchServers to = new SearchServers(loop, broker, client, c.serverPort());
+    broker.add(to);
+    HttpServer server = new HttpServer(loop, MOST_BODY, share,
+        new SearchFront(config.settings(), c, broker, to, clock, config.name()));
+    return new SearchSide(to, server, c.listen());
   }
 
   static void main() {
-    Configuration config;
+    Aggregator aggregator;
     try {
-      config = ConfigurationReader.read(System.getenv());
+      Configuration config = ConfigurationReader.read(System.getenv());
+      aggregator = new Aggregator(config, SearchConfigurationReader.read(System.getenv(), config.settings()));
     } catch (ConfigException e) {
       System.err.println("configuration: " + e.getMessage());
       System.exit(BAD_CONFIGURATION);
       return;
     }
-    Aggregator aggregator = new Aggregator(config);
     Runtime.getRuntime().addShutdownHook(new Thread(aggregator::drain, "drain"));
     aggregator.loop.execute(aggregator::start);
   }
@@ -70,18 +91,27 @@
     told(config.known(), Router.ListKind.REMEMBERED);
     new Discovery(loop, config.discovery(), config.zones(), config.known().revision(),
         list -> told(list, list.complete() ? Router.ListKind.COMPLETE : Router.ListKind.CHANGES)).start();
+    // The platform's front comes last: it is what says that the program is ready.
+    search.ifPresent(s -> listen(s.front(), s.listen()));
+    listen(front, config.listen());
+  }
+
+  private void listen(HttpServer server, HostPort at) {
     try {
-      front.listen(config.listen());
-      LOG.log(Level.INFO, config.name() + " listens at " + config.listen());
+      server.listen(at);
+      LOG.log(Level.INFO, config.name() + " listens at " + at);
     } catch (IOException e) {
-      LOG.log(Level.ERROR, "cannot listen at " + config.listen(), e);
+      LOG.log(Level.ERROR, "cannot listen at " + at, e);
       Runtime.getRuntime().halt(1);
     }
   }
 
   private void told(ServerList list, Router.ListKind kind) {
     list.entries().stream().filter(e -> e.address() != null)
-        .forEach(e -> servers.address(e.member().server(), e.address()));
+        .forEach(e -> {
+          servers.address(e.member().server(), e.address());
+          search.ifPresent(s -> s.servers().address(e.member().server(), e.address()));
+        });
     anyServer |= list.entries().stream().anyMatch(e -> e.member().state() == Router.ServerState.LIVE);
     broker.submit(new Event.Told(kind, list.entries().stream().map(ServerList.Entry::member).toList()));
   }
@@ -92,8 +122,10 @@
       LOG.log(Level.INFO, "draining");
       draining = true;
       front.drain();
+      search.ifPresent(s -> s.front().drain());
       loop.after(GRACE, () -> {
         front.stopListening();
+        search.ifPresent(s -> s.front().stopListening());
         awaitIdle();
       });
     });
@@ -105,7 +137,7 @@
   }
 
   private void awaitIdle() {
-    if (broker.open() == 0 && front.open() == 0) {
+    if (broker.open() == 0 && front.open() == 0 && search.stream().allMatch(s -> s.front().open() == 0)) {
       drained.countDown();
     } else {
       loop.after(DRAIN_CHECK, this::awaitIdle);
--- a/src/main/java/bitternpulley/broker/Effect.java
+++ b/src/main/java/bitternpulley/broker/Effect.java
@@ -1,5 +1,6 @@
 package bitternpulley.broker;
 
+import bitternpulley.policy.Router;
 import java.util.Map;
 
 /** What the core asks the outside to do. */
@@ -27,13 +28,22 @@
 
   /** The final answer of a request. */
   sealed interface Answer {
-    /** Answered from the slices that are in, by their position in the request. */
-    record Answered(boolean whole, Map<Integer, Payload> values) implements Answer {}
+    /** Answered from the slices that are in, by their position; the others by what became of them. */
+    record Answered(boolean whole, Map<Integer, Payload> values, Map<Integer, Missing> missing) implements Answer {}
 
     /** Refused: asking again is harmless, best after {@code pause} ms (0: no advice). */
-    record Refused(double pause) implements Answer {}
+    record Refused(double pause, Ending ending) implements Answer {}
 
-    /** Failed, with no promise about what has run; {@code late} when its time had run out. */
-    record Failed(boolean late) implements Answer {}
+    /** Failed, with no promise about what has run. */
+    record Failed(Ending ending) implements Answer {}
+
+    /** Failed since the request itself is at fault, as a server found. */
+    record Faulty(Payload reason) implements Answer {}
+
+    /** How things stood at an end without an answer. */
+    record Ending(boolean late, boolean mayHaveRun, Map<Integer, Missing> missing) {}
+
+    /** A slice that is not in: how its last attempt ended and what came with that; all null while none has. */
+    record Missing(Router.Outcome outcome, String server, Payload reason) {}
   }
 }
--- a/src/main/java/bitternpulley/broker/Event.java
+++ b/src/main/java/bitternpulley/broker/Event.java
@@ -14,9 +14,12 @@
   /** Discovery has told a list of servers or a change. */
   record Told(Router.ListKind kind, List<Router.Member> members) implements Event {}
 
-  /** An attempt has ended by itself; {@code value} is what it brought, null but for OK. */
+  /** An attempt has ended by itself; {@code value} is what it brought, or null. */
   record Ended(AttemptId attempt, Router.Outcome outcome, Payload value) implements Event {}
 
+  /** A server finds fault with the request itself: no other would take it either. */
+  record Faulted(AttemptId attempt, Payload reason) implements Event {}
+
   /** A server has been told that an attempt is given up, or was never asked. */
   record Abandoned(AttemptId attempt) implements Event {}
 
--- a/src/main/java/bitternpulley/broker/Reducer.java
+++ b/src/main/java/bitternpulley/broker/Reducer.java
@@ -19,8 +19,8 @@
 public final class Reducer {
   private static final System.Logger LOG = System.getLogger(Reducer.class.getName());
 
-  /** Ms before a client's end from which a failure counts as out of time. */
-  private static final double FAILED_LATE = 100;
+  /** Ms before a client's end from which an end without an answer counts as out of time. */
+  private static final double LATE = 100;
 
   private static final class Open {
     final Request request;
@@ -41,6 +41,8 @@
     final int slice;
     int sent;
     Out out;
+    boolean mayHaveRun;
+    Effect.Answer.Missing last = new Effect.Answer.Missing(null, null, null);
 
     Part(Open open, int slice) {
       this.open = open;
@@ -97,7 +99,7 @@
         LOG.log(Level.ERROR, "the module failed on " + next, e);
         if (next instanceof Event.Taken taken) {
           // Guards against a request that is lost because deciding on it failed.
-          end(taken.request().id(), new Effect.Answer.Failed(false));
+          end(taken.request().id(), new Effect.Answer.Failed(new Effect.Answer.Ending(false, false, Map.of())));
         }
       }
     }
@@ -115,6 +117,8 @@
       router.members(e.kind(), e.members(), now, recorder);
     } else if (event instanceof Event.Ended e) {
       ended(e.attempt(), e.outcome(), e.value());
+    } else if (event instanceof Event.Faulted e) {
+      faulted(e);
     } else if (event instanceof Event.Unsent e) {
       router.ended(new Router.Ended(e.attempt().part(), e.attempt().number(), e.server(), Router.Outcome.MOOT, 0,
           null), now, recorder);
@@ -142,12 +146,13 @@
     partsHeld += r.slices().size();
     OptionalDouble full = router.turnedAway(requests.size() + partsHeld);
     if (full.isPresent()) {
-      end(r.id(), new Effect.Answer.Refused(full.getAsDouble()));
+      end(r.id(), new Effect.Answer.Refused(full.getAsDouble(),
+          new Effect.Answer.Ending(false, false, Map.of())));
       return;
     }
     double work = r.slices().stream().mapToDouble(Request.Slice::work).sum();
     router.query(new Router.Query(r.id(), r.id(), r.requestClass(), r.slices().size(), work, r.retry(), r.timeLeft(),
-        0), now, recorder);
+        0, r.terms()), now, recorder);
     for (int i = 0; i < r.slices().size(); i++) {
       Request.Slice s = r.slices().get(i);
       parts.put(open.firstPart + i, new Part(open, i));
@@ -167,6 +172,8 @@
     }
     Part p = parts.get(id.part());
     p.out = null;
+    p.mayHaveRun |= !outcome.neverRan();
+    p.last = new Effect.Answer.Missing(outcome, out.server, value);
     if (outcome == Router.Outcome.OK) {
       p.open.values.put(p.slice, value);
     }
@@ -174,6 +181,18 @@
     router.ended(new Router.Ended(id.part(), id.number(), out.server, outcome, now - out.sentAt, null), now, recorder);
   }
 
+  /** The request is its client's fault: no server is asked again, and the module hears that it is gone. */
+  private void faulted(Event.Faulted e) {
+    Out out = out(e.attempt());
+    if (out == null) {
+      return;
+    }
+    long id = parts.get(e.attempt().part()).open.request.id();
+    end(id, new Effect.Answer.Faulty(e.reason()));
+    ended(e.attempt(), Router.Outcome.ERROR, e.reason());
+    router.gone(id, now, recorder);
+  }
+
   private void giveUp(Out out, Router.Outcome as) {
     if (out.given == null) {
       out.given = as;
@@ -189,6 +208,19 @@
     }
   }
 
+  private Effect.Answer.Ending ending(Open open) {
+    TreeMap<Integer, Effect.Answer.Missing> missing = new TreeMap<>();
+    boolean mayHaveRun = false;
+    for (int i = 0; i < open.request.slices().size(); i++) {
+      Part p = parts.get(open.firstPart + i);
+      if (p != null && !open.values.containsKey(i)) {
+        missing.put(i, p.out == null ? p.last : new Effect.Answer.Missing(null, p.out.server, null));
+      }
+      mayHaveRun |= p != null && (p.mayHaveRun || p.out != null);
+    }
+    return new Effect.Answer.Ending(now >= open.endsAt - LATE, mayHaveRun, missing);
+  }
+
   private Open forget(long id) {
     Open open = requests.remove(id);
     if (open != null) {
@@ -243,19 +275,24 @@
     public void answer(long query, boolean whole) {
       Open open = requests.get(query);
       if (open != null) {
-        end(query, new Effect.Answer.Answered(whole, new TreeMap<>(open.values)));
+        end(query, new Effect.Answer.Answered(whole, new TreeMap<>(open.values), ending(open).missing()));
       }
     }
 
     @Override
     public void refuse(long query, double pause) {
-      end(query, new Effect.Answer.Refused(pause));
+      Open open = requests.get(query);
+      if (open != null) {
+        end(query, new Effect.Answer.Refused(pause, ending(open)));
+      }
     }
 
     @Override
     public void fail(long query) {
       Open open = requests.get(query);
-      end(query, new Effect.Answer.Failed(open != null && now >= open.endsAt - FAILED_LATE));
+      if (open != null) {
+        end(query, new Effect.Answer.Failed(ending(open)));
+      }
     }
 
     @Override
--- a/src/main/java/bitternpulley/config/Configuration.java
+++ b/src/main/java/bitternpulley/config/Configuration.java
@@ -10,5 +10,13 @@
     Wire wire, List<String> zones) {
 
   /** Figures of the wire to the slot servers: calls a connection, and ms after which an idle one is closed there. */
-  public record Wire(int streams, double keepalive) {}
+  public record Wire(int streams, double keepalive) {
+    /** Share of the servers' idle time after which we close a connection first, so that no call meets their close. */
+    private static final double IDLE_SHARE = 0.8;
+
+    /** Ms after which an idle connection is closed from here. */
+    public double idleAfter() {
+      return keepalive * IDLE_SHARE;
+    }
+  }
 }
--- /dev/null
+++ b/src/main/java/bitternpulley/net/HttpClient.java
@@ -0,0 +1,187 @@
+package bitternpulley.net;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/** Sends HTTP/1.1 requests, one at a time on a connection, over a bounded pool of kept connections to each address. */
+public final class HttpClient {
+  /** How a call ended without a response. */
+  public enum Broken { NEVER_SENT, MAYBE_SENT }
+
+  /** A whole response. */
+  public record Response(int status, byte[] body) {}
+
+  /** Told once how a call ended; not at all when the call was dropped. */
+  public interface Done {
+    void response(Response response);
+
+    void broken(Broken how, String why);
+  }
+
+  private final EventLoop loop;
+  private final int mostBody;
+  private final int mostEach;
+  private final double connectTimeout;
+  private final double idleAfter;
+  private final Map<HostPort, ArrayDeque<Link>> idle = new HashMap<>();
+  private final Map<HostPort, Set<Link>> open = new HashMap<>();
+
+  public HttpClient(EventLoop loop, int mostBody, int mostEach, double connectTimeout, double idleAfter) {
+    this.loop = loop;
+    this.mostBody = mostBody;
+    this.mostEach = mostEach;
+    this.connectTimeout = connectTimeout;
+    this.idleAfter = idleAfter;
+  }
+
+  /** A call under way; dropping it closes its connection, so that the server may stop. */
+  public interface Call {
+    void drop();
+  }
+
+  /** Sends a request, whose bytes are its head and body; null where the pool for the address is used up. */
+  public Call send(HostPort to, ByteBuffer request, Done done) {
+    ArrayDeque<Link> kept = idle.get(to);
+    Link link = kept == null ? null : kept.pollLast();
+    if (link == null) {
+      Set<Link> links = open.computeIfAbsent(to, t -> new HashSet<>());
+      if (links.size() >= mostEach) {
+        return null;
+      }
+      link = new Link(to);
+      links.add(link);
+    }
+    link.begin(request, done);
+    return link::drop;
+  }
+
+  /** Closes the idle connections to an address. */
+  public void closeIdle(HostPort to) {
+    ArrayDeque<Link> kept = idle.remove(to);
+    if (kept != null) {
+      kept.forEach(l -> l.connection.close());
+    }
+  }
+
+  private final class Link implements Connection.Owner, HttpParser.Sink {
+    private final HostPort to;
+    private final HttpParser parser = new HttpParser(true, mostBody, this);
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+    private final Connection connection;
+    private HttpHead head;
+    private ByteBuffer request;
+    private Done done;
+    private boolean up;
+    private boolean written;
+    private int uses;
+
+    Link(HostPort to) {
+      this.to = to;
+      connection = Connection.open(loop, to, connectTimeout, this, () -> {
+        up = true;
+        write();
+      });
+    }
+
+    void begin(ByteBuffer bytes, Done done) {
+      uses++;
+      request = bytes;
+      written = false;
+      this.done = done;
+      if (up) {
+        write();
+      }
+    }
+
+    private void write() {
+      if (request != null) {
+        connection.write(request, () -> written = true);
+      }
+    }
+
+    void drop() {
+      done = null;
+      request = null;
+      connection.close();
+    }
+
+    @Override
+    public void received(ByteBuffer bytes) {
+      try {
+        if (done == null) {
+          connection.close(); // nothing was asked
+        } else if (parser.read(bytes) && bytes.hasRemaining()) {
+          connection.close(); // more than was asked for
+        }
+      } catch (HttpException e) {
+        broken(e.getMessage());
+        connection.close();
+      }
+    }
+
+    @Override
+    public void head(HttpHead head) {
+      this.head = head;
+    }
+
+    @Override
+    public void body(ByteBuffer piece) {
+      byte[] bytes = new byte[piece.remaining()];
+      piece.get(bytes);
+      body.writeBytes(bytes);
+    }
+
+    @Override
+    public void end() {
+      Response response = new Response(head.status(), body.toByteArray());
+      body.reset();
+      if (response.status() < 200) {
+        return;
+      }
+      Done told = done;
+      done = null;
+      request = null;
+      if (head.keepAlive() && !connection.isClosed()) {
+        idle.computeIfAbsent(to, t -> new ArrayDeque<>()).addLast(this);
+        int before = uses;
+        loop.after(idleAfter, () -> {
+          if (uses == before) {
+            connection.close();
+          }
+        });
+      } else {
+        connection.close();
+      }
+      told.response(response);
+    }
+
+    private void broken(String why) {
+      Done told = done;
+      done = null;
+      if (told != null) {
+        told.broken(written ? Broken.MAYBE_SENT : Broken.NEVER_SENT, why);
+      }
+    }
+
+    @Override
+    public void closed() {
+      Set<Link> links = open.get(to);
+      links.remove(this);
+      if (links.isEmpty()) {
+        open.remove(to);
+      }
+      ArrayDeque<Link> kept = idle.get(to);
+      if (kept != null) {
+        kept.remove(this);
+      }
+      if (done == null || !parser.ended()) {
+        broken("the connection broke");
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/bitternpulley/opensearch/SearchServers.java
@@ -0,0 +1,145 @@
+package bitternpulley.opensearch;
+
+import bitternpulley.broker.AttemptId;
+import bitternpulley.broker.Broker;
+import bitternpulley.broker.Dialect;
+import bitternpulley.broker.Effect;
+import bitternpulley.broker.Event;
+import bitternpulley.broker.Payload;
+import bitternpulley.net.EventLoop;
+import bitternpulley.net.HostPort;
+import bitternpulley.net.HttpClient;
+import bitternpulley.policy.Router.Outcome;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+
+/** The way to slot servers that speak the search API: one request for each attempt of a part. */
+public final class SearchServers implements Dialect {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private final EventLoop loop;
+  private final Broker broker;
+  private final HttpClient client;
+  private final int port;
+  private final Map<String, HostPort> addresses = new HashMap<>();
+  private final Map<AttemptId, HttpClient.Call> out = new HashMap<>();
+
+  public SearchServers(EventLoop loop, Broker broker, HttpClient client, int port) {
+    this.loop = loop;
+    this.broker = broker;
+    this.client = client;
+    this.port = port;
+  }
+
+  /** Notes the machine of a server; this API has its own port there. */
+  public void address(String server, HostPort at) {
+    addresses.put(server, new HostPort(at.host(), port));
+  }
+
+  @Override
+  public void start(Effect.Start attempt) {
+    HostPort at = addresses.get(attempt.server());
+    HttpClient.Call call = at == null ? null : client.send(at, request(attempt, at), new HttpClient.Done() {
+      @Override
+      public void response(HttpClient.Response response) {
+        if (out.remove(attempt.id()) != null) {
+          broker.submit(event(attempt.id(), response));
+        }
+      }
+
+      @Override
+      public void broken(HttpClient.Broken how, String why) {
+        if (out.remove(attempt.id()) != null) {
+          boolean sent = how == HttpClient.Broken.MAYBE_SENT;
+          broker.submit(new Event.Ended(attempt.id(), sent ? Outcome.RESET : Outcome.UNREACHABLE,
+              new PartHits.Failure(503, "node_not_connected_exception", why)));
+        }
+      }
+    });
+    if (call == null) {
+      loop.execute(() -> broker.submit(new Event.Ended(attempt.id(), Outcome.UNREACHABLE, null)));
+    } else {
+      out.put(attempt.id(), call);
+    }
+  }
+
+  @Override
+  public void abandon(Effect.Abandon attempt) {
+    HttpClient.Call call = out.remove(attempt.id());
+    if (call != null) {
+      call.drop();
+      broker.submit(new Event.Abandoned(attempt.id()));
+    }
+  }
+
+  @Override
+  public void reply(Effect.Reply reply) {
+    ((Search) reply.request().payload()).done().accept(reply.answer());
+  }
+
+  @Override
+  public void closeIdle(String server) {
+    HostPort at = addresses.get(server);
+    if (at != null) {
+      client.closeIdle(at);
+    }
+  }
+
+  @Override
+  public void probe(String server) {
+    broker.submit(new Event.Probed(server, false, 0));
+  }
+
+  private static ByteBuffer request(Effect.Start attempt, HostPort at) {
+    Search search = (Search) attempt.request().payload();
+    Search.Part part = search.parts().get(attempt.slice());
+    ObjectNode body = search.body().deepCopy();
+    body.put("timeout", Math.max(1, Math.round(attempt.timeout())) + "ms");
+    byte[] text;
+    try {
+      text = MAPPER.writeValueAsBytes(body);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    String of = part.index() + "." + part.section();
+    String head = "POST /" + part.index() + "/_search?preference=_shards:" + part.section()
+        + "&allow_partial_search_results=false HTTP/1.1\r\nHost: " + at + "\r\nContent-Type: application/json\r\n"
+        + "X-Opaque-Id: " + search.id() + "." + of + "\r\n"
+        // A server drops a repeated key, so each part of a search has one of its own, the same at every attempt.
+        + (search.token() == null ? "" : "Idempotency-Key: " + search.token() + "." + of + "\r\n")
+        + "Content-Length: " + text.length + "\r\n\r\n";
+    byte[] first = head.getBytes(StandardCharsets.US_ASCII);
+    return ByteBuffer.allocate(first.length + text.length).put(first).put(text).flip();
+  }
+
+  private static Event event(AttemptId id, HttpClient.Response response) {
+    JsonNode body;
+    try {
+      body = MAPPER.readTree(response.body());
+    } catch (IOException e) {
+      body = null;
+    }
+    if (response.status() == 200) {
+      PartHits hits = body == null ? null : PartHits.read(body);
+      Payload value = hits != null ? hits
+          : new PartHits.Failure(500, "search_phase_execution_exception", "the server did not answer in whole");
+      return new Event.Ended(id, hits != null ? Outcome.OK : Outcome.ERROR, value);
+    }
+    JsonNode error = body == null ? MAPPER.missingNode() : body.path("error");
+    JsonNode cause = error.path("root_cause").path(0).has("type") ? error.path("root_cause").path(0) : error;
+    PartHits.Failure failure = new PartHits.Failure(response.status(),
+        cause.path("type").asText("exception"), cause.path("reason").asText("status " + response.status()));
+    return switch (response.status()) {
+      case 400 -> new Event.Faulted(id, failure);
+      case 429 -> new Event.Ended(id, Outcome.FULL, failure);
+      default -> new Event.Ended(id, Outcome.ERROR, failure);
+    };
+  }
+}
--- a/src/main/java/bitternpulley/platform/QueryFront.java
+++ b/src/main/java/bitternpulley/platform/QueryFront.java
@@ -1,5 +1,6 @@
 package bitternpulley.platform;
 
+import bitternpulley.policy.Router;
 import bitternpulley.policy.Settings;
 import bitternpulley.broker.Broker;
 import bitternpulley.broker.Effect;
@@ -49,7 +50,7 @@
       long id = broker.nextId();
       exchange.onGone(() -> broker.submit(new Event.Left(id)));
       broker.submit(new Event.Taken(new Request(id, servers, query.requestClass(), query.timeLeft(), query.retry(),
-          query.slices(), query)));
+          Router.Terms.OF_CLASS, query.slices(), query)));
     } catch (HttpException e) {
       exchange.reply(unusable(e.status(), e.getMessage()));
     }
--- a/src/main/java/bitternpulley/platform/SlotServers.java
+++ b/src/main/java/bitternpulley/platform/SlotServers.java
@@ -7,6 +7,7 @@
 import bitternpulley.broker.Effect;
 import bitternpulley.broker.Event;
 import bitternpulley.broker.Request;
+import bitternpulley.config.Configuration;
 import bitternpulley.net.Connection;
 import bitternpulley.net.EventLoop;
 import bitternpulley.net.FrameCodec;
@@ -24,8 +25,6 @@
 /** The platform's way to the slot servers: frames over a few connections to each, many parts on one. */
 public final class SlotServers implements Dialect {
   private static final System.Logger LOG = System.getLogger(SlotServers.class.getName());
-  /** Share of the servers' idle time after which we close a connection first, so that no call meets their close. */
-  private static final double IDLE_SHARE = 0.8;
 
   private final EventLoop loop;
   private final Broker broker;
@@ -40,11 +39,11 @@
   private int open;
 
   public SlotServers(
-      EventLoop loop, Broker broker, int streams, double keepalive, double connectTimeout, int mostLinks) {
+      EventLoop loop, Broker broker, Configuration.Wire wire, double connectTimeout, int mostLinks) {
     this.loop = loop;
     this.broker = broker;
-    this.streams = streams;
-    this.idleAfter = keepalive * IDLE_SHARE;
+    this.streams = wire.streams();
+    this.idleAfter = wire.idleAfter();
     this.connectTimeout = connectTimeout;
     this.mostLinks = mostLinks;
   }
--- a/src/main/java/bitternpulley/policy/Policy.java
+++ b/src/main/java/bitternpulley/policy/Policy.java
@@ -219,9 +219,10 @@
       tenantParts.get(query.tenant()).add(now, query.parts());
     }
     int c = query.queryClass();
-    Settings.QueryClass kind = settings.classes().get(c);
+    Settings.QueryClass listed = settings.classes().get(c);
+    Settings.QueryClass kind = query.terms().wholeOnly() ? listed.wholeOnly() : listed;
     double aim = Math.min(kind.aim() + kind.aimStretch() * query.work(), kind.deadline());
-    if (laterTry(c, query)) {
+    if (!query.terms().ownTime() && laterTry(c, query)) {
       // The client's clock has run since its first try, and this one has what is left of the deadline.
       aim -= kind.deadline() - query.timeLeft();
     }
--- a/src/main/java/bitternpulley/policy/Router.java
+++ b/src/main/java/bitternpulley/policy/Router.java
@@ -36,7 +36,20 @@
 
   /** A query taken; its parts follow under the same number. */
   record Query(
-      long id, long number, int queryClass, int parts, double work, boolean retry, double timeLeft, int tenant) {}
+      long id, long number, int queryClass, int parts, double work, boolean retry, double timeLeft, int tenant,
+      Terms terms) {
+
+    /** A query on its class's own terms. */
+    public Query(
+        long id, long number, int queryClass, int parts, double work, boolean retry, double timeLeft, int tenant) {
+      this(id, number, queryClass, parts, work, retry, timeLeft, tenant, Terms.OF_CLASS);
+    }
+  }
+
+  /** What a client asks for beside its class: nothing but the whole, or a time of its own that tells of no retry. */
+  record Terms(boolean wholeOnly, boolean ownTime) {
+    public static final Terms OF_CLASS = new Terms(false, false);
+  }
 
   /** A part of a query's current step. */
   record Part(long id, long number, int shard, double weight, double work) {}
--- a/src/main/java/bitternpulley/policy/Settings.java
+++ b/src/main/java/bitternpulley/policy/Settings.java
@@ -21,6 +21,12 @@
     public boolean mayAnswerInPart() {
       return leastShare < wholeShare;
     }
+
+    /** The same class for a client that takes no answer in part. */
+    public QueryClass wholeOnly() {
+      return new QueryClass(name, worth, aim, aimStretch, deadline, lateWorth, effect, dedupWindow, stream,
+          wholeShare, wholeShare, partialWorth, secondStep);
+    }
   }
 
   /** A tenant and the fraction of the service allotted to it. */
