Prove both fronts against the real program with TestNG; close gaps found on review

Stand-ins of our own act as clients, slot servers and discovery; one set of rule checks runs over both dialects. Review did: HttpServer lost a request whose handler threw and kept half-sent requests for good; a failed socket left an attempt open until it was overdue (SlotServers.link, HttpClient.send); the second front's pool was bounded by address and not in all; Dialect carried probes that no wire answered, and these are gone.

--- a/src/main/java/bitternpulley/Aggregator.java
+++ b/src/main/java/bitternpulley/Aggregator.java
@@ -116,7 +116,7 @@
     broker.submit(new Event.Told(kind, list.entries().stream().map(ServerList.Entry::member).toList()));
   }
 
-  /** Runs as the shutdown hook: the program ends when this returns. */
+  /** Runs as the shutdown hook: the program ends when this returns. The JDK's own hook may end logging meanwhile. */
   private void drain() {
     loop.execute(() -> {
       LOG.log(Level.INFO, "draining");
--- a/src/main/java/bitternpulley/broker/Broker.java
+++ b/src/main/java/bitternpulley/broker/Broker.java
@@ -71,8 +71,6 @@
         timer.after(e.time() - clock.now(), () -> submit(e.event()));
       } else if (effect instanceof Effect.CloseIdle e) {
         dialects.forEach(d -> d.closeIdle(e.server()));
-      } else if (effect instanceof Effect.Probe e) {
-        dialects.stream().findFirst().ifPresent(d -> d.probe(e.server()));
       } else if (effect instanceof Effect.Log e) {
         LOG.log(Level.INFO, e.text());
       }
--- a/src/main/java/bitternpulley/broker/Dialect.java
+++ b/src/main/java/bitternpulley/broker/Dialect.java
@@ -16,7 +16,4 @@
 
   /** Closes idle connections to a server. */
   void closeIdle(String server);
-
-  /** Probes a server, with {@link Event.Probed} to follow. */
-  void probe(String server);
 }
--- a/src/main/java/bitternpulley/broker/Effect.java
+++ b/src/main/java/bitternpulley/broker/Effect.java
@@ -20,9 +20,6 @@
   /** Close the idle connections to a server. */
   record CloseIdle(String server) implements Effect {}
 
-  /** Probe a server. */
-  record Probe(String server) implements Effect {}
-
   /** Write a line to the log. */
   record Log(String text) implements Effect {}
 
--- a/src/main/java/bitternpulley/broker/Event.java
+++ b/src/main/java/bitternpulley/broker/Event.java
@@ -31,7 +31,4 @@
 
   /** An alarm that the module set is due. */
   record Alarm(String token) implements Event {}
-
-  /** A probe has come back or failed. */
-  record Probed(String server, boolean ok, double elapsed) implements Event {}
 }
--- a/src/main/java/bitternpulley/broker/Reducer.java
+++ b/src/main/java/bitternpulley/broker/Reducer.java
@@ -134,8 +134,6 @@
       }
     } else if (event instanceof Event.Alarm e) {
       router.alarm(e.token(), now, recorder);
-    } else if (event instanceof Event.Probed e) {
-      router.probed(new Router.Probed(e.server(), e.ok(), e.elapsed(), null), now, recorder);
     }
   }
 
@@ -312,7 +310,8 @@
 
     @Override
     public void probe(String server) {
-      effects.add(new Effect.Probe(server));
+      // The module sends none, so no wire here carries any; one that comes to need them says so at once.
+      throw new UnsupportedOperationException("probes are not carried");
     }
 
     @Override
--- a/src/main/java/bitternpulley/net/HttpClient.java
+++ b/src/main/java/bitternpulley/net/HttpClient.java
@@ -1,14 +1,13 @@
 package bitternpulley.net;
 
 import java.io.ByteArrayOutputStream;
+import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
 
-/** Sends HTTP/1.1 requests, one at a time on a connection, over a bounded pool of kept connections to each address. */
+/** Sends HTTP/1.1 requests, one at a time on a connection, over a bounded number of kept connections. */
 public final class HttpClient {
   /** How a call ended without a response. */
   public enum Broken { NEVER_SENT, MAYBE_SENT }
@@ -25,16 +24,16 @@
 
   private final EventLoop loop;
   private final int mostBody;
-  private final int mostEach;
+  private final int mostOpen;
   private final double connectTimeout;
   private final double idleAfter;
   private final Map<HostPort, ArrayDeque<Link>> idle = new HashMap<>();
-  private final Map<HostPort, Set<Link>> open = new HashMap<>();
+  private int open;
 
-  public HttpClient(EventLoop loop, int mostBody, int mostEach, double connectTimeout, double idleAfter) {
+  public HttpClient(EventLoop loop, int mostBody, int mostOpen, double connectTimeout, double idleAfter) {
     this.loop = loop;
     this.mostBody = mostBody;
-    this.mostEach = mostEach;
+    this.mostOpen = mostOpen;
     this.connectTimeout = connectTimeout;
     this.idleAfter = idleAfter;
   }
@@ -44,17 +43,20 @@
     void drop();
   }
 
-  /** Sends a request, whose bytes are its head and body; null where the pool for the address is used up. */
+  /** Sends a request, whose bytes are its head and body; null where no more connections may be open. */
   public Call send(HostPort to, ByteBuffer request, Done done) {
     ArrayDeque<Link> kept = idle.get(to);
     Link link = kept == null ? null : kept.pollLast();
     if (link == null) {
-      Set<Link> links = open.computeIfAbsent(to, t -> new HashSet<>());
-      if (links.size() >= mostEach) {
+      if (open >= mostOpen) {
+        return null;
+      }
+      try {
+        link = new Link(to);
+      } catch (UncheckedIOException e) {
+        // Guards against a call that never ends because not even a socket could be had for it.
         return null;
       }
-      link = new Link(to);
-      links.add(link);
     }
     link.begin(request, done);
     return link::drop;
@@ -86,6 +88,7 @@
         up = true;
         write();
       });
+      open++;
     }
 
     void begin(ByteBuffer bytes, Done done) {
@@ -170,14 +173,13 @@
 
     @Override
     public void closed() {
-      Set<Link> links = open.get(to);
-      links.remove(this);
-      if (links.isEmpty()) {
-        open.remove(to);
-      }
+      open--;
       ArrayDeque<Link> kept = idle.get(to);
       if (kept != null) {
         kept.remove(this);
+        if (kept.isEmpty()) {
+          idle.remove(to);
+        }
       }
       if (done == null || !parser.ended()) {
         broken("the connection broke");
--- a/src/main/java/bitternpulley/net/HttpServer.java
+++ b/src/main/java/bitternpulley/net/HttpServer.java
@@ -17,7 +17,9 @@
   private static final System.Logger LOG = System.getLogger(HttpServer.class.getName());
   private static final int BACKLOG = 512;
   /** Bytes that a client may send ahead of the answer to its last request. */
-  private static final int MOST_AHEAD = 96 * 1024;
+  private static final int MOST_AHEAD = 16 * 1024;
+  /** Ms that a client gets to send a request, once it has begun. */
+  private static final double REQUEST_TIME = 10_000;
   /** Ms until accepting is tried again after it failed, as it does when descriptors run out. */
   private static final double ACCEPT_PAUSE = 50;
 
@@ -139,6 +141,7 @@
     private HttpHead head;
     private Call call;
     private boolean broken;
+    private int count;
 
     Session(AsynchronousSocketChannel channel) {
       connection = new Connection(loop, channel);
@@ -164,14 +167,27 @@
     }
 
     private void parse(ByteBuffer bytes) {
+      boolean begins = parser.idle();
       try {
-        parser.read(bytes);
+        if (!parser.read(bytes) && begins && !parser.idle()) {
+          awaitRest(count);
+        }
       } catch (HttpException e) {
         broken = true;
         send(handler.unusable(e.status(), e.getMessage()), false);
       }
     }
 
+    /** Guards against requests that are begun and never end, each of which would hold a descriptor for good. */
+    private void awaitRest(int before) {
+      loop.after(REQUEST_TIME, () -> {
+        if (count == before && !broken) {
+          broken = true;
+          send(handler.unusable(408, "the request did not end in time"), false);
+        }
+      });
+    }
+
     /** What a client sends ahead waits here, up to a bound. */
     private void keep(ByteBuffer bytes) {
       if (ahead.remaining() + bytes.remaining() > MOST_AHEAD) {
@@ -204,8 +220,15 @@
       // Least recently used first: an idle connection that must make room is the one longest unused.
       sessions.remove(this);
       sessions.add(this);
+      count++;
       call = new Call(this, head.keepAlive());
-      handler.handle(new Request(head, whole), call);
+      try {
+        handler.handle(new Request(head, whole), call);
+      } catch (RuntimeException e) {
+        // Guards against a request that is lost because dealing with it failed.
+        LOG.log(Level.ERROR, "a request could not be dealt with", e);
+        call.reply(handler.unusable(500, "failed"));
+      }
     }
 
     private void send(Response r, boolean keep) {
@@ -276,6 +299,7 @@
       case 400 -> "Bad Request";
       case 404 -> "Not Found";
       case 405 -> "Method Not Allowed";
+      case 408 -> "Request Timeout";
       case 413 -> "Content Too Large";
       case 429 -> "Too Many Requests";
       case 431 -> "Request Header Fields Too Large";
--- a/src/main/java/bitternpulley/opensearch/SearchServers.java
+++ b/src/main/java/bitternpulley/opensearch/SearchServers.java
@@ -92,11 +92,6 @@
     }
   }
 
-  @Override
-  public void probe(String server) {
-    broker.submit(new Event.Probed(server, false, 0));
-  }
-
   private static ByteBuffer request(Effect.Start attempt, HostPort at) {
     Search search = (Search) attempt.request().payload();
     Search.Part part = search.parts().get(attempt.slice());
--- a/src/main/java/bitternpulley/platform/Discovery.java
+++ b/src/main/java/bitternpulley/platform/Discovery.java
@@ -27,7 +27,7 @@
   private static final double GAP = 50;
   private static final double GAP_MOST = 1000;
   /** Ms without a line, one of which comes every 2 s, after which a watch is held for dead. */
-  private static final double SILENCE = 7000;
+  private static final double SILENCE = 4500;
   private static final int MOST_LINE = 1 << 20;
 
   private final EventLoop loop;
--- a/src/main/java/bitternpulley/platform/PlatformQuery.java
+++ b/src/main/java/bitternpulley/platform/PlatformQuery.java
@@ -83,7 +83,7 @@
       JsonNode mass = s.path("mass");
       require(shard.isInt() && shard.intValue() >= 0 && shard.intValue() < shards, "'slice' is no shard");
       require(seen.add(shard.intValue()), "a 'slice' comes twice");
-      require(mass.isNumber() && mass.doubleValue() >= 0, "'mass' is not a weight");
+      require(mass.isNumber() && mass.doubleValue() >= 0 && mass.doubleValue() <= 1, "'mass' is not a weight");
       slices.add(new Request.Slice(shard.intValue(), mass.doubleValue(), s.path("micros").asDouble(0) / 1000));
     }
     return List.copyOf(slices);
--- a/src/main/java/bitternpulley/platform/SlotServers.java
+++ b/src/main/java/bitternpulley/platform/SlotServers.java
@@ -12,10 +12,12 @@
 import bitternpulley.net.EventLoop;
 import bitternpulley.net.FrameCodec;
 import bitternpulley.net.HostPort;
+import java.io.UncheckedIOException;
 import java.lang.System.Logger.Level;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -81,7 +83,7 @@
   private Link link(String server, HostPort at) {
     List<Link> all = links.computeIfAbsent(server, s -> new ArrayList<>());
     for (Link l : all) {
-      if (l.calls.size() < streams && l.at.equals(at)) {
+      if (l.calls.size() < streams && l.at.equals(at) && !l.connection.isClosed()) {
         return l;
       }
     }
@@ -89,9 +91,15 @@
       LOG.log(Level.WARNING, "no descriptor to spare for another connection to " + server);
       return null;
     }
-    Link fresh = new Link(server, at);
-    all.add(fresh);
-    return fresh;
+    try {
+      Link fresh = new Link(server, at);
+      all.add(fresh);
+      return fresh;
+    } catch (UncheckedIOException e) {
+      // Guards against an attempt that never ends because not even a socket could be had for it.
+      LOG.log(Level.WARNING, "no socket for " + server + ": " + e.getMessage());
+      return null;
+    }
   }
 
   @Override
@@ -111,11 +119,6 @@
     }
   }
 
-  @Override
-  public void probe(String server) {
-    broker.submit(new Event.Probed(server, false, 0));
-  }
-
   private static final class Call {
     final String id;
     final ByteBuffer frame;
@@ -141,11 +144,11 @@
     Link(String server, HostPort at) {
       this.server = server;
       this.at = at;
-      open++;
       connection = Connection.open(loop, at, connectTimeout, this, () -> {
         up = true;
-        List.copyOf(calls.entrySet()).forEach(e -> write(e.getKey(), e.getValue()));
+        List.copyOf(calls.values()).forEach(this::write);
       });
+      open++;
     }
 
     void call(Effect.Start attempt) {
@@ -162,11 +165,11 @@
       calls.put(attempt.id(), call);
       byId.put(id, attempt.id());
       if (up) {
-        write(attempt.id(), call);
+        write(call);
       }
     }
 
-    private void write(AttemptId attempt, Call call) {
+    private void write(Call call) {
       connection.write(call.frame, () -> call.written = true);
     }
 
@@ -250,7 +253,7 @@
         default -> throw new IllegalArgumentException("an answer that ends '" + words[1] + "'");
       };
       remove(attempt);
-      byte[] value = java.util.Arrays.copyOfRange(rest, line + 1, rest.length);
+      byte[] value = Arrays.copyOfRange(rest, line + 1, rest.length);
       broker.submit(new Event.Ended(attempt, outcome, outcome == Outcome.OK ? new PartValue(value) : null));
     }
 
--- /dev/null
+++ b/src/test/java/bitternpulley/broker/ReducerTest.java
@@ -0,0 +1,176 @@
+package bitternpulley.broker;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import bitternpulley.policy.Router;
+import bitternpulley.policy.Settings;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** The core without any wire, on a clock that the test sets. */
+public class ReducerTest {
+  private record Word(String text) implements Payload {}
+
+  private final List<Effect> effects = new ArrayList<>();
+  private Reducer reducer;
+  private double now;
+
+  private static Settings settings(Settings.Effect effect, double least) {
+    Settings.QueryClass kind = new Settings.QueryClass(
+        "any", 1, 1000, 0, 3000, 0.3, effect, 400, false, least, 1, 0.8, 0);
+    return new Settings(0, 1, 0, 5, false, true, List.of(kind), List.of(), 1, false,
+        new Settings.Layout(4, 4, 2, 1), new Settings.Limits(4, 8, true, false, false, true, 500, 250),
+        new Settings.Rules(20, 250, 0.2, 10_000, 2, 1000, false, 0, 0, 0, 0),
+        new Settings.Prices(0.05, 0, 0, 0, 0), new Settings.Load(-1, -1, -1, -1, -1, -1));
+  }
+
+  @BeforeMethod
+  public void begin() {
+    begin(settings(Settings.Effect.SAFE, 1));
+  }
+
+  private void begin(Settings settings) {
+    now = 1000;
+    effects.clear();
+    reducer = new Reducer(settings, 7, now);
+    tell(new Event.Told(Router.ListKind.REMEMBERED, IntStream.range(0, 4).mapToObj(
+        i -> new Router.Member("s" + i, i % 2, i, Router.ServerState.LIVE, 0)).toList()));
+  }
+
+  private void tell(Event event) {
+    effects.addAll(reducer.reduce(event, now));
+  }
+
+  private void ask(long id, int... shards) {
+    tell(new Event.Taken(new Request(id, null, 0, 3000, false, Router.Terms.OF_CLASS,
+        IntStream.of(shards).mapToObj(s -> new Request.Slice(s, 1.0 / shards.length, 0)).toList(), null)));
+  }
+
+  private <T> List<T> all(Class<T> kind) {
+    return effects.stream().filter(kind::isInstance).map(kind::cast).toList();
+  }
+
+  private Effect.Start start(int n) {
+    return all(Effect.Start.class).get(n);
+  }
+
+  private Effect.Answer answer(int n) {
+    return all(Effect.Reply.class).get(n).answer();
+  }
+
+  @Test
+  public void aWholeRequestIsAnsweredOnceFromItsValues() {
+    ask(1, 0, 1);
+    tell(new Event.Ended(start(0).id(), Router.Outcome.OK, new Word("a")));
+    assertEquals(reducer.open(), 1);
+    tell(new Event.Ended(start(1).id(), Router.Outcome.OK, new Word("b")));
+    Effect.Answer.Answered answer = (Effect.Answer.Answered) answer(0);
+    assertTrue(answer.whole());
+    assertEquals(answer.values().toString(), "{0=Word[text=a], 1=Word[text=b]}");
+    tell(new Event.Ended(start(1).id(), Router.Outcome.OK, new Word("again")));
+    tell(new Event.Left(1));
+    assertEquals(all(Effect.Reply.class).size(), 1);
+    assertEquals(reducer.open(), 0);
+  }
+
+  /** Guards against two attempts out at once: the next one starts only when the server has been told of the first. */
+  @Test
+  public void anOverdueAttemptIsFollowedOnlyOnceItsServerIsTold() {
+    ask(1, 0);
+    now += 200;
+    tell(new Event.Overdue(start(0).id()));
+    assertEquals(all(Effect.Abandon.class).size(), 1);
+    tell(new Event.Overdue(start(0).id()));
+    assertEquals(all(Effect.Abandon.class).size(), 1);
+    assertEquals(all(Effect.Start.class).size(), 1);
+    tell(new Event.Abandoned(start(0).id()));
+    assertEquals(all(Effect.Start.class).size(), 2);
+    assertFalse(start(1).server().equals(start(0).server()));
+  }
+
+  @Test
+  public void anAnswerThatCrossesTheWordCounts() {
+    ask(1, 0);
+    now += 200;
+    tell(new Event.Overdue(start(0).id()));
+    tell(new Event.Ended(start(0).id(), Router.Outcome.OK, new Word("a")));
+    tell(new Event.Abandoned(start(0).id()));
+    assertEquals(((Effect.Answer.Answered) answer(0)).values().toString(), "{0=Word[text=a]}");
+  }
+
+  @Test
+  public void fourAttemptsAreTheMost() {
+    ask(1, 0);
+    for (int i = 0; i < 4; i++) {
+      now += 10;
+      tell(new Event.Ended(start(i).id(), Router.Outcome.ERROR, new Word("no")));
+    }
+    assertEquals(all(Effect.Start.class).size(), 4);
+    Effect.Answer.Refused refused = (Effect.Answer.Refused) answer(0);
+    assertTrue(refused.ending().mayHaveRun());
+    assertFalse(refused.ending().late());
+    assertEquals(refused.ending().missing().get(0).reason(), new Word("no"));
+  }
+
+  @Test
+  public void aKeyedRequestThatMayHaveRunFailsAndIsNotRefused() {
+    begin(settings(Settings.Effect.KEYED, 1));
+    ask(1, 0);
+    now += 500;
+    tell(new Event.Ended(start(0).id(), Router.Outcome.RESET, null));
+    assertEquals(all(Effect.Start.class).size(), 1, "its window has passed");
+    assertTrue(answer(0) instanceof Effect.Answer.Failed);
+  }
+
+  @Test
+  public void moreThanMayBeHeldIsRefusedUnsent() {
+    ask(1, 0, 1, 2, 3);
+    assertEquals(all(Effect.Reply.class).size(), 0);
+    ask(2, 0, 1, 2, 3);
+    Effect.Answer.Refused refused = (Effect.Answer.Refused) answer(0);
+    assertTrue(refused.pause() > 0);
+    assertFalse(refused.ending().mayHaveRun());
+    assertEquals(all(Effect.Start.class).size(), 4);
+  }
+
+  @Test
+  public void whoLeavesGetsNoAnswerAndItsPartsAreGivenUp() {
+    ask(1, 0, 1);
+    tell(new Event.Left(1));
+    assertEquals(all(Effect.Abandon.class).size(), 2);
+    assertEquals(all(Effect.Reply.class).size(), 0);
+    assertEquals(reducer.open(), 0);
+  }
+
+  @Test
+  public void aRequestAtFaultEndsAtTheFirstServerThatSaysSo() {
+    ask(1, 0, 1);
+    tell(new Event.Faulted(start(0).id(), new Word("parse")));
+    assertEquals(answer(0), new Effect.Answer.Faulty(new Word("parse")));
+    assertEquals(all(Effect.Start.class).size(), 2);
+    assertEquals(all(Effect.Abandon.class).size(), 1);
+    assertEquals(all(Effect.Reply.class).size(), 1);
+  }
+
+  @Test
+  public void aClientsOwnTimeIsNoSignOfARetryAndWholeOnlyIsKept() {
+    begin(settings(Settings.Effect.SAFE, 0.5));
+    for (int i = 0; i < 10; i++) {
+      ask(10 + i, 0);
+      tell(new Event.Ended(start(i).id(), Router.Outcome.OK, new Word("a")));
+    }
+    effects.clear();
+    tell(new Event.Taken(new Request(1, null, 0, 800, false, new Router.Terms(true, true),
+        List.of(new Request.Slice(0, 0.5, 0), new Request.Slice(1, 0.5, 0)), null)));
+    assertEquals(all(Effect.Start.class).size(), 2, "a short time of its own is not refused as a spent one");
+    tell(new Event.Ended(start(0).id(), Router.Outcome.OK, new Word("a")));
+    now += 800;
+    tell(new Event.Alarm("q1"));
+    assertFalse(answer(0) instanceof Effect.Answer.Answered, "half is not the whole");
+  }
+}
--- /dev/null
+++ b/src/test/java/bitternpulley/config/ConfigurationTest.java
@@ -0,0 +1,85 @@
+package bitternpulley.config;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import bitternpulley.policy.Router;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class ConfigurationTest {
+  private static final String GOOD = """
+      {"name":"n3","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"ff","limits":{"sockets":512},
+       "known":{"revision":4,"complete":true,"members":[{"id":"s-1","host_port":"127.0.0.1:3","locality":"b",
+         "cell":2,"phase":"draining","up_since_ms":7}]},
+       "settings":{"failureDomains":["a","b"],"requestClasses":[{"name":"c","deadline":50}],"domain":{"shards":4},
+         "policyLimits":{"streamsPerConn":9,"keepalive":1000}}}""";
+
+  private static Configuration read(String text) throws IOException {
+    Path file = Files.createTempFile("config", ".json");
+    Files.writeString(file, text);
+    return ConfigurationReader.read(Map.of("LB_CONFIG", file.toString()));
+  }
+
+  @Test
+  public void allThatIsToldIsRead() throws IOException {
+    Configuration c = read(GOOD);
+    assertEquals(c.name(), "n3");
+    assertEquals(c.seed(), 255);
+    assertEquals(c.sockets(), 512);
+    assertEquals(c.wire(), new Configuration.Wire(9, 1000));
+    assertEquals(c.known().revision(), 4);
+    assertEquals(c.known().entries().get(0).member(),
+        new Router.Member("s-1", 1, 2, Router.ServerState.DRAINING, 7));
+  }
+
+  @DataProvider
+  public Object[][] faults() {
+    return new Object[][] {
+        {"\"n3\"", "\"\"", "name"}, {"127.0.0.1:1\"", "here\"", "listen"}, {"127.0.0.1:2", "x:2", "discovery"},
+        {"\"ff\"", "\"zz\"", "seed"}, {"512", "-1", "sockets"}, {"512", "3", "sockets"},
+        {"127.0.0.1:3", "no:3", "host_port"}, {"draining", "what", "phase"}, {"\"revision\":4,", "", "revision"},
+        {"requestClasses", "others", "requestClasses"}, {"\"deadline\":50", "\"deadline\":-1", "deadline"},
+        {":9,", ":0,", "streamsPerConn"}, {"1000", "\"x\"", "keepalive"}, {"\"settings\"", "\"sets\"", "settings"},
+        {"\"shards\":4", "\"shards\":-4", "shards"}, {"{\"name\":\"n3\"", "[{\"name\":\"n3\"", "LB_CONFIG"}};
+  }
+
+  @Test(dataProvider = "faults")
+  public void theFaultyKeyIsNamed(String from, String to, String key) throws IOException {
+    ConfigException e = expectThrows(ConfigException.class, () -> read(GOOD.replace(from, to)));
+    assertTrue(e.getMessage().contains(key), e.getMessage());
+  }
+
+  @Test
+  public void withoutAFileTheVariableIsNamed() {
+    assertTrue(expectThrows(ConfigException.class, () -> ConfigurationReader.read(Map.of())).getMessage()
+        .contains("LB_CONFIG"));
+  }
+
+  @Test
+  public void theSecondFrontIsOffUnlessItsFileNamesAnAddress() throws IOException {
+    var settings = read(GOOD).settings();
+    assertTrue(SearchConfigurationReader.read(new HashMap<>(), settings).isEmpty(), "as shipped");
+    String text = "{\"listen\":\"127.0.0.1:9200\",\"indices\":{\"i\":{\"class\":\"c\",\"sections\":[1,3]}}}";
+    SearchConfiguration c = search(text, settings);
+    assertEquals(c.indices().get("i").sections().toString(), "[1, 3]");
+    for (String[] fault : new String[][] {{"\"c\"", "\"d\"", "indices.i.class"}, {"[1,3]", "[1,4]", "sections"},
+        {"[1,3]", "[1,1]", "sections"}, {"127.0.0.1:9200", "nine", "listen"}, {"\"i\"", "\"I\"", "indices"},
+        {"\"indices\"", "\"server_port\":0,\"indices\"", "server_port"}}) {
+      assertTrue(expectThrows(ConfigException.class, () -> search(text.replace(fault[0], fault[1]), settings))
+          .getMessage().contains(fault[2]), fault[2]);
+    }
+  }
+
+  private static SearchConfiguration search(String text, bitternpulley.policy.Settings settings) throws IOException {
+    Path file = Files.createTempFile("search", ".json");
+    Files.writeString(file, text);
+    return SearchConfigurationReader.read(Map.of("LB_OPENSEARCH", file.toString()), settings).orElseThrow();
+  }
+}
--- /dev/null
+++ b/src/test/java/bitternpulley/process/Deployment.java
@@ -0,0 +1,257 @@
+package bitternpulley.process;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+/** The real program as a process, with stand-ins of ours for discovery and the slot servers, all on loopback. */
+final class Deployment implements AutoCloseable {
+  static final ObjectMapper JSON = new ObjectMapper();
+  static final int CELLS = 6;
+  private static final long PATIENCE = TimeUnit.SECONDS.toNanos(30);
+
+  final List<StandIn> servers = new ArrayList<>();
+  final AttemptLog log = new AttemptLog();
+  final List<String> watches = new CopyOnWriteArrayList<>();
+  final ConcurrentLinkedQueue<String> output = new ConcurrentLinkedQueue<>();
+  final String listen;
+  final String searchListen;
+  private final ServerSocket discovery;
+  private final List<Socket> watching = new CopyOnWriteArrayList<>();
+  private final ObjectNode config = JSON.createObjectNode();
+  private final Path folder;
+  private int revision = 41;
+  Process process;
+
+  Deployment() throws IOException {
+    folder = Files.createTempDirectory("bitternpulley");
+    int port = freePort();
+    for (int i = 0; i < CELLS; i++) {
+      servers.add(new StandIn("s" + i, i, "127.0.1." + (i + 1), port, log));
+    }
+    discovery = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+    listen = "127.0.0.1:" + freePort();
+    searchListen = "127.0.0.1:" + freePort();
+    StandIn.daemon(this::serveDiscovery);
+    config.put("name", "n0").put("listen", listen).put("discovery", "127.0.0.1:" + discovery.getLocalPort())
+        .put("seed", "8c1f30d27a5be964");
+    config.putObject("limits").put("cores", 1.0).put("memory_mb", 192).put("sockets", 1024);
+    config.set("known", list(true, servers, "up"));
+    config.set("settings", settings());
+    ObjectNode search = JSON.createObjectNode().put("listen", searchListen).put("server_port", port);
+    ObjectNode indices = search.putObject("indices");
+    indices.putObject("slots").put("class", "slot-search");
+    indices.putObject("clinics").put("class", "slot-search");
+    indices.putObject("bookings").put("class", "slot-booking").putArray("sections").add(0);
+    indices.putObject("stock").put("class", "stock-report");
+    Files.writeString(folder.resolve("opensearch.json"), search.toString());
+  }
+
+  ObjectNode config() {
+    return config;
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+      return socket.getLocalPort();
+    }
+  }
+
+  private static ObjectNode settings() {
+    ObjectNode s = JSON.createObjectNode().put("tick", 5.0).put("instances", 1).put("selfIndex", 0).put("zone", 0);
+    s.putArray("failureDomains").add("gulberg").add("johar");
+    ArrayNode classes = s.putArray("requestClasses");
+    for (String name : List.of("slot-search", "slot-booking", "stock-report")) {
+      classes.addObject().put("name", name).put("aim", 2000).put("deadline", 5000).put("lateWorth", 0.3)
+          .put("effect", name.equals("slot-booking") ? "token" : "pure").put("dedupWindow", 5000).put("worth", 1);
+    }
+    ObjectNode domain = s.putObject("domain").put("cells", CELLS).put("shards", CELLS).put("width", 2);
+    domain.putArray("minShare").add(1).add(1).add(0.8);
+    domain.putArray("wholeAt").add(1).add(1).add(1);
+    domain.putArray("classPartial").add(0.9).add(0.9).add(0.8);
+    s.putObject("policyLimits").put("connectTimeout", 250).put("keepalive", 15000).put("maxAttempts", 4)
+        .put("maxOpen", 200).put("maxRetryAfter", 2000).put("mayCancel", true).put("retryAfter", true)
+        .put("secondCopies", false).put("streamsPerConn", 100);
+    s.putObject("rules").put("answerSlack", 20).put("cold", 17000).put("coldFrom", 0.2).put("fall", 1000)
+        .put("stopSendingWithin", 250).put("tipMultiple", 2);
+    return s;
+  }
+
+  private static ObjectNode list(boolean complete, List<StandIn> of, String phase) {
+    ObjectNode list = JSON.createObjectNode().put("revision", 41).put("complete", complete);
+    ArrayNode members = list.putArray("members");
+    for (StandIn s : of) {
+      members.addObject().put("id", s.id).put("host_port", s.host + ":" + s.framePort())
+          .put("locality", s.cell % 2 == 0 ? "gulberg" : "johar").put("cell", s.cell).put("phase", phase)
+          .put("size", 1.0).put("up_since_ms", 0);
+    }
+    return list;
+  }
+
+  /** Starts the program with the flags of the deploy file's {@code run}, on the classes just compiled. */
+  Deployment start() throws IOException {
+    Path file = folder.resolve("config.json");
+    Files.writeString(file, config.toString());
+    List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin/java").toString()));
+    String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream().filter(l -> l.startsWith("run"))
+        .findFirst().orElseThrow();
+    Arrays.stream(run.split("[ \"]")).filter(w -> w.startsWith("-X")).forEach(command::add);
+    command.addAll(List.of("-cp", System.getProperty("java.class.path"), "bitternpulley.Main", "serve"));
+    ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+    builder.environment().putAll(Map.of("LB_CONFIG", file.toString(), "LB_OPENSEARCH",
+        folder.resolve("opensearch.json").toString()));
+    process = builder.start();
+    StandIn.daemon(() -> {
+      try (BufferedReader lines = new BufferedReader(new InputStreamReader(process.getInputStream()))) {
+        lines.lines().forEach(output::add);
+      }
+    });
+    return this;
+  }
+
+  Deployment startAndAwaitReady() throws IOException {
+    start();
+    await("ready", () -> {
+      try {
+        return call(listen, "GET /-/ready HTTP/1.1\r\n\r\n", "").status == 200;
+      } catch (IOException e) {
+        return false;
+      }
+    });
+    return this;
+  }
+
+  /** Waits on a condition, far beyond what any machine needs. */
+  static void await(String what, BooleanSupplier until) {
+    long end = System.nanoTime() + PATIENCE;
+    while (!until.getAsBoolean()) {
+      if (System.nanoTime() > end) {
+        throw new AssertionError("waited in vain: " + what);
+      }
+      Thread.onSpinWait();
+      try {
+        TimeUnit.MILLISECONDS.sleep(5);
+      } catch (InterruptedException e) {
+        throw new IllegalStateException(e);
+      }
+    }
+  }
+
+  // --- Discovery -------------------------------------------------------------------------------
+
+  private void serveDiscovery() throws IOException {
+    while (true) {
+      Socket socket = discovery.accept();
+      String target = StandIn.head(socket.getInputStream())[0];
+      watches.add(target);
+      watching.add(socket);
+      socket.getOutputStream().write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes());
+    }
+  }
+
+  /** Tells a change of one server, split in two in the middle of the line. */
+  void tell(StandIn server, String phase) throws IOException {
+    await("a watch", () -> !watching.isEmpty());
+    String line = list(false, List.of(server), phase).put("revision", ++revision) + "\n";
+    Socket socket = watching.get(watching.size() - 1);
+    for (String piece : List.of(line.substring(0, 20), line.substring(20))) {
+      socket.getOutputStream().write((Integer.toHexString(piece.length()) + "\r\n" + piece + "\r\n").getBytes());
+      socket.getOutputStream().flush();
+    }
+  }
+
+  void breakWatches() throws IOException {
+    for (Socket s : watching) {
+      s.close();
+    }
+    watching.clear();
+  }
+
+  // --- Clients ---------------------------------------------------------------------------------
+
+  record Reply(int status, Map<String, String> headers, String body) {
+    JsonNode json() {
+      try {
+        return JSON.readTree(body);
+      } catch (IOException e) {
+        throw new AssertionError("not JSON: " + body, e);
+      }
+    }
+  }
+
+  /** Sends one request over a connection of its own and reads the whole answer. */
+  static Reply call(String to, String head, String body) throws IOException {
+    try (Socket socket = connect(to)) {
+      socket.getOutputStream().write((head + body).getBytes(StandardCharsets.UTF_8));
+      return reply(socket);
+    }
+  }
+
+  static Socket connect(String to) throws IOException {
+    String[] words = to.split(":");
+    Socket socket = new Socket(words[0], Integer.parseInt(words[1]));
+    socket.setSoTimeout((int) TimeUnit.NANOSECONDS.toMillis(PATIENCE));
+    socket.setTcpNoDelay(true);
+    return socket;
+  }
+
+  static Reply reply(Socket socket) throws IOException {
+    InputStream in = socket.getInputStream();
+    String[] head = StandIn.head(in);
+    Map<String, String> headers = StandIn.headers(head);
+    byte[] body = in.readNBytes(Integer.parseInt(headers.get("content-length")));
+    return new Reply(Integer.parseInt(head[0].split(" ")[1]), headers, new String(body, StandardCharsets.UTF_8));
+  }
+
+  /** A platform query of a class over some sections of equal weight, as it goes over the wire. */
+  static String query(String requestClass, String id, double seconds, int... sections) {
+    ObjectNode body = JSON.createObjectNode().put("filter", "c41e77d0");
+    ArrayNode slices = body.putArray("slices");
+    for (int s : sections) {
+      slices.addObject().put("slice", s).put("mass", 1.0 / sections.length);
+    }
+    return "POST /" + requestClass + " HTTP/1.1\r\nHost: b\r\nRequest-Id: " + id + "\r\nRequest-Timeout: " + seconds
+        + "\r\nIdempotency-Key: k-" + id + "\r\nContent-Length: " + body.toString().length() + "\r\n\r\n" + body;
+  }
+
+  Reply ask(String requestClass, String id, int... sections) throws IOException {
+    return call(listen, query(requestClass, id, 4.5, sections), "");
+  }
+
+  Reply search(String target, String body, String... headers) throws IOException {
+    return call(searchListen, "POST " + target + " HTTP/1.1\r\nHost: b\r\nContent-Length: "
+        + body.getBytes(StandardCharsets.UTF_8).length + "\r\n"
+        + String.join("", Arrays.stream(headers).map(h -> h + "\r\n").toList()) + "\r\n", body);
+  }
+
+  @Override
+  public void close() throws IOException {
+    if (process != null) {
+      process.destroyForcibly();
+    }
+    discovery.close();
+    breakWatches();
+    for (StandIn s : servers) {
+      s.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/bitternpulley/process/PlatformProcessTest.java
@@ -0,0 +1,225 @@
+package bitternpulley.process;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import bitternpulley.process.Deployment.Reply;
+import bitternpulley.process.StandIn.Act;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** The platform's protocol against the real program. */
+public class PlatformProcessTest {
+  private Deployment d;
+
+  @BeforeMethod
+  public void start() throws IOException {
+    d = new Deployment().startAndAwaitReady();
+  }
+
+  @AfterMethod(alwaysRun = true)
+  public void stop() throws IOException {
+    d.log.check("platform");
+    d.close();
+  }
+
+  private void everyServer(Act act) {
+    d.servers.forEach(s -> s.act = (index, section) -> act);
+  }
+
+  private boolean ready() {
+    try {
+      return Deployment.call(d.listen, "GET /-/ready HTTP/1.1\r\n\r\n", "").status() == 200;
+    } catch (IOException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  private String headOf(String part) {
+    return d.servers.stream().flatMap(s -> s.heads.stream()).filter(h -> h.startsWith(part + " ")).findFirst()
+        .orElseThrow();
+  }
+
+  @Test
+  public void aQueryIsAnsweredWholeFromItsServersValues() throws IOException {
+    Reply r = d.ask("stock-report", "q1", 0, 1, 2, 3, 4, 5);
+    assertEquals(r.status(), 200);
+    assertTrue(r.json().path("entire").asBoolean());
+    assertEquals(r.json().path("items").size(), 6);
+    r.json().path("items").forEach(i ->
+        assertEquals(i.path("body").asText(), "v" + i.path("slice").asInt()));
+    assertTrue(headOf("q1.3").matches("q1\\.3 3 d=[0-9]+ 8\nc41e77d0"), headOf("q1.3"));
+  }
+
+  @Test
+  public void onlyAKeyedClassSendsItsKey() throws IOException {
+    assertEquals(d.ask("slot-booking", "b1", 2).status(), 200);
+    assertTrue(headOf("b1.2").matches("b1\\.2 2 d=[0-9]+,k=k-b1 8\nc41e77d0"), headOf("b1.2"));
+    String without = Deployment.query("slot-booking", "b2", 4, 2).replaceAll("Idempotency-Key: k-b2\r\n", "");
+    assertEquals(Deployment.call(d.listen, without, "").status(), 400);
+  }
+
+  @Test
+  public void aPartThatOneServerFailsIsServedByTheOther() throws IOException {
+    for (Act bad : List.of(Act.ERROR, Act.FULL, Act.RESET, Act.GARBAGE)) {
+      d.servers.get(2).act = (index, section) -> bad;
+      Reply r = d.ask("slot-search", "f-" + bad, 1, 2);
+      assertEquals(r.status(), 200, bad + ": " + r.body());
+      assertTrue(r.json().path("entire").asBoolean());
+    }
+  }
+
+  @Test
+  public void aServerThatIsDownIsPassedBy() throws IOException {
+    d.servers.get(2).close();
+    Reply r = d.ask("slot-search", "down", 1, 2);
+    assertEquals(r.status(), 200, r.body());
+  }
+
+  @Test
+  public void fourAttemptsAreTheMostAndThenAnAnswerComesAtOnce() throws IOException {
+    everyServer(Act.ERROR);
+    Reply r = d.ask("slot-search", "e", 0);
+    assertEquals(r.status(), 429, r.body());
+    assertTrue(Double.parseDouble(r.headers().get("retry-after")) > 0);
+    assertEquals(d.log.all().size(), 4);
+    assertEquals(d.ask("slot-booking", "eb", 0).status(), 500, "work that may have run is not refused");
+  }
+
+  @Test
+  public void aQueryBeyondWhatMayBeHeldIsRefusedUnsent() throws IOException {
+    d.close();
+    d = new Deployment();
+    ((com.fasterxml.jackson.databind.node.ObjectNode) d.config().at("/settings/policyLimits")).put("maxOpen", 6);
+    d.startAndAwaitReady();
+    assertEquals(d.ask("stock-report", "big", 0, 1, 2, 3, 4, 5).status(), 429);
+    assertEquals(d.log.all().size(), 0);
+    assertEquals(d.ask("slot-search", "small", 0, 1).status(), 200);
+  }
+
+  @Test
+  public void aClientThatLeavesHasItsPartsGivenUp() throws IOException {
+    everyServer(Act.SILENT);
+    try (Socket client = Deployment.connect(d.listen)) {
+      client.getOutputStream().write(Deployment.query("slot-search", "gone", 4.5, 0, 1).getBytes());
+      Deployment.await("both parts sent", () -> d.log.all().size() == 2);
+    }
+    Deployment.await("both given up", () -> d.log.all().stream().allMatch(AttemptLog.Attempt::over));
+  }
+
+  @Test
+  public void splitAndChunkedAndLargeBodiesAreRead() throws IOException {
+    String plain = Deployment.query("slot-search", "split", 4.5, 0);
+    try (Socket client = Deployment.connect(d.listen)) {
+      for (byte b : plain.getBytes(StandardCharsets.UTF_8)) {
+        client.getOutputStream().write(b);
+      }
+      assertEquals(Deployment.reply(client).status(), 200);
+      String body = plain.substring(plain.indexOf("\r\n\r\n") + 4);
+      String chunked = plain.substring(0, plain.indexOf("\r\n\r\n") + 4).replace("split", "chunked")
+          .replaceAll("Content-Length: [0-9]+", "Transfer-Encoding: chunked")
+          + "5;x=y\r\n" + body.substring(0, 5) + "\r\n" + Integer.toHexString(body.length() - 5) + "\r\n"
+          + body.substring(5) + "\r\n0\r\nTrailer: t\r\n\r\n";
+      client.getOutputStream().write(chunked.getBytes(StandardCharsets.UTF_8));
+      assertEquals(Deployment.reply(client).status(), 200);
+    }
+    int most = 64 * 1024;
+    String body = plain.substring(plain.indexOf("\r\n\r\n") + 4);
+    String full = body.replace("c41e77d0", "f".repeat(most - body.length() + 8));
+    String head = plain.substring(0, plain.indexOf("Content-Length")).replace("split", "full");
+    assertEquals(Deployment.call(d.listen, head + "Content-Length: " + most + "\r\n\r\n", full).status(), 200);
+    assertEquals(Deployment.call(d.listen, head + "Content-Length: " + (most + 1) + "\r\n\r\n", full + " ").status(),
+        413);
+  }
+
+  @Test
+  public void badInputEndsNothingButItself() throws IOException {
+    for (String bad : List.of("nonsense\r\n\r\n", "POST /slot-search HTTP/1.1\r\nContent-Length: x\r\n\r\n",
+        Deployment.query("slot-search", "bad", 4, 0).replace("c41e77d0\"", "c41e77d0x"),
+        Deployment.query("slot-search", "b d", 4, 0), Deployment.query("slot-search", "range", 4, 99),
+        Deployment.query("slot-search", "twice", 4, 1, 1),
+        Deployment.query("slot-search", "time", 4, 0).replace("Request-Timeout: 4.0", "Request-Timeout: soon"))) {
+      assertEquals(Deployment.call(d.listen, bad, "").status(), 400, bad);
+    }
+    assertEquals(Deployment.call(d.listen, Deployment.query("no-class", "x", 4, 0), "").status(), 404);
+    assertEquals(Deployment.call(d.listen, "GET /slot-search HTTP/1.1\r\n\r\n", "").status(), 405);
+    assertEquals(d.ask("slot-search", "after", 0).status(), 200);
+    assertEquals(d.log.all().size(), 1);
+  }
+
+  @Test
+  public void aDrainingServerGetsNothingNewAndTheWatchResumes() throws IOException {
+    StandIn draining = d.servers.get(1);
+    d.tell(draining, "draining");
+    // Told once the line is read, which a query answered without that server shows.
+    Deployment.await("the drain is heeded", () -> {
+      try {
+        int before = draining.heads.size();
+        boolean served = d.ask("slot-search", "p" + System.nanoTime(), 0, 1).status() == 200;
+        return served && draining.heads.size() == before;
+      } catch (IOException e) {
+        throw new AssertionError(e);
+      }
+    });
+    draining.drainingSince = System.nanoTime();
+    int before = draining.heads.size();
+    for (int i = 0; i < 20; i++) {
+      assertEquals(d.ask("slot-search", "d" + i, 0, 1).status(), 200);
+    }
+    assertEquals(draining.heads.size(), before);
+    d.breakWatches();
+    Deployment.await("a watch from the last revision",
+        () -> d.watches.stream().anyMatch(w -> w.contains("watch=1&from=42")));
+    draining.drainingSince = 0;
+    d.tell(draining, "up");
+    d.servers.stream().filter(o -> o != draining).forEach(o -> o.act = (index, section) -> Act.ERROR);
+    Deployment.await("the server is used again", () -> {
+      try {
+        return d.ask("slot-search", "u" + System.nanoTime(), 0, 1).status() == 200;
+      } catch (IOException e) {
+        throw new AssertionError(e);
+      }
+    });
+  }
+
+  @Test
+  public void whatWasTakenBeforeSigtermIsAnswered() throws Exception {
+    everyServer(Act.SILENT);
+    try (Socket client = Deployment.connect(d.listen); Socket idle = Deployment.connect(d.listen)) {
+      client.getOutputStream().write(Deployment.query("slot-search", "held", 2.0, 0).getBytes());
+      Deployment.await("it is sent", () -> d.log.all().size() == 1);
+      d.process.destroy();
+      Deployment.await("draining", () -> !ready());
+      everyServer(Act.SERVE);
+      Reply late = Deployment.call(d.listen, Deployment.query("slot-search", "late", 4, 3), "");
+      assertEquals(late.status(), 200, "connections are taken for a while after SIGTERM");
+      assertEquals(late.headers().get("connection"), "close");
+      Reply held = Deployment.reply(client);
+      assertTrue(held.status() == 200 || held.status() == 429, held.body());
+      assertEquals(held.headers().get("connection"), "close");
+      assertEquals(idle.getInputStream().read(), -1);
+    }
+    assertTrue(d.process.waitFor(30, TimeUnit.SECONDS));
+    assertFalse(d.output.stream().anyMatch(l -> l.contains("ERROR") || l.contains("SEVERE")), d.output.toString());
+  }
+
+  @Test
+  public void aFaultyConfigurationIsNamed() throws Exception {
+    try (Deployment bad = new Deployment()) {
+      bad.config().withObject("/settings").withArray("requestClasses").get(1);
+      ((com.fasterxml.jackson.databind.node.ObjectNode) bad.config().at("/settings/requestClasses/1"))
+          .put("deadline", -4);
+      bad.start();
+      assertTrue(bad.process.waitFor(30, TimeUnit.SECONDS));
+      assertEquals(bad.process.exitValue(), 2);
+      Deployment.await("the key", () -> bad.output.stream().anyMatch(l -> l.contains("deadline")));
+    }
+  }
+}
