Answer pipelined requests behind one answered at once; pass over bad list entries

A new test of HttpServer hung: a request read together with one that is answered at once was kept and never taken up (Session.received). Also: an entry of discovery that cannot be read no longer blocks the list behind it (ServerList.read); a 429 of a slot server proves nothing unless it is a rejected execution; a search with more parts than may ever be held is 400 and not 429.

--- a/src/main/java/bitternpulley/Aggregator.java
+++ b/src/main/java/bitternpulley/Aggregator.java
@@ -59,7 +59,7 @@
     double connectTimeout = config.settings().limits().connectTimeout();
     servers = new SlotServers(loop, broker, config.wire(), connectTimeout, share);
     broker.add(servers);
-    front = new HttpServer(loop, MOST_BODY, share,
+    front = new HttpServer(loop, MOST_BODY, share, HttpServer.REQUEST_TIME,
         new QueryFront(config.settings(), broker, servers, () -> anyServer && !draining));
     search = searchConfig.map(c -> searchSide(c, clock, connectTimeout, share));
   }
@@ -68,7 +68,7 @@
     HttpClient client = new HttpClient(loop, c.maxPartBytes(), share, connectTimeout, config.wire().idleAfter());
     SearchServers to = new SearchServers(loop, broker, client, c.serverPort());
     broker.add(to);
-    HttpServer server = new HttpServer(loop, MOST_BODY, share,
+    HttpServer server = new HttpServer(loop, MOST_BODY, share, HttpServer.REQUEST_TIME,
         new SearchFront(config.settings(), c, broker, to, clock, config.name()));
     return new SearchSide(to, server, c.listen());
   }
--- a/src/main/java/bitternpulley/config/ConfigurationReader.java
+++ b/src/main/java/bitternpulley/config/ConfigurationReader.java
@@ -27,7 +27,9 @@
     List<String> zones = zones(settings);
     JsonNode known = in.get("known");
     ServerList list = known == null || known.isNull()
-        ? new ServerList(0, true, List.of()) : named("known", () -> ServerList.read(known, zones));
+        ? new ServerList(0, true, List.of()) : named("known", () -> ServerList.read(known, zones, e -> {
+          throw e;
+        }));
     JsonNode limits = settings.path("policyLimits");
     double sockets = named("limits", () -> Fields.figure(in.path("limits"), "sockets", 1024));
     double streams = named("settings", () -> Fields.figure(limits, "streamsPerConn", 100));
--- a/src/main/java/bitternpulley/config/ServerList.java
+++ b/src/main/java/bitternpulley/config/ServerList.java
@@ -11,6 +11,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 
 /** A list of slot servers, or a change to one, in discovery's form. */
 public record ServerList(long revision, boolean complete, List<Entry> entries) {
@@ -18,15 +19,22 @@
   /** A server and where this aggregator reaches it. */
   public record Entry(Router.Member member, HostPort address) {}
 
-  /** Reads a list; {@code zones} are the names that the settings number. */
-  public static ServerList read(JsonNode in, List<String> zones) {
+  /**
+   * Reads a list; {@code zones} are the names that the settings number. An entry that cannot be used is told to
+   * {@code faults} and, unless that throws, left out: it must not keep the others from being heard.
+   */
+  public static ServerList read(JsonNode in, List<String> zones, Consumer<ConfigException> faults) {
     List<Entry> entries = new ArrayList<>();
     JsonNode members = need(in, "members");
     if (!members.isArray()) {
       throw new ConfigException("field 'members' is not a list");
     }
     for (JsonNode m : members) {
-      entries.add(entry(m, zones));
+      try {
+        entries.add(entry(m, zones));
+      } catch (ConfigException e) {
+        faults.accept(e);
+      }
     }
     return new ServerList((long) number(in, "revision"), flag(in, "complete"), List.copyOf(entries));
   }
--- a/src/main/java/bitternpulley/net/HttpServer.java
+++ b/src/main/java/bitternpulley/net/HttpServer.java
@@ -18,8 +18,8 @@
   private static final int BACKLOG = 512;
   /** Bytes that a client may send ahead of the answer to its last request. */
   private static final int MOST_AHEAD = 16 * 1024;
-  /** Ms that a client gets to send a request, once it has begun. */
-  private static final double REQUEST_TIME = 10_000;
+  /** Ms that a client usually gets to send a request, once it has begun. */
+  public static final double REQUEST_TIME = 10_000;
   /** Ms until accepting is tried again after it failed, as it does when descriptors run out. */
   private static final double ACCEPT_PAUSE = 50;
 
@@ -50,15 +50,18 @@
   private final Handler handler;
   private final int mostBody;
   private final int mostConnections;
+  private final double requestTime;
   private final Set<Session> sessions = new LinkedHashSet<>();
   private AsynchronousServerSocketChannel listener;
   private boolean accepting;
   private boolean draining;
 
-  public HttpServer(EventLoop loop, int mostBody, int mostConnections, Handler handler) {
+  /** A server that holds so many connections, each of which may take {@code requestTime} ms over a request. */
+  public HttpServer(EventLoop loop, int mostBody, int mostConnections, double requestTime, Handler handler) {
     this.loop = loop;
     this.mostBody = mostBody;
     this.mostConnections = mostConnections;
+    this.requestTime = requestTime;
     this.handler = handler;
   }
 
@@ -156,11 +159,11 @@
       if (broken) {
         return;
       }
-      if (call != null) {
-        keep(bytes);
-        return;
+      // Guards against a request that waits for good behind one answered at once: what is ahead is only kept
+      // while a call is under way, whose end takes it up.
+      while (call == null && bytes.hasRemaining() && !broken) {
+        parse(bytes);
       }
-      parse(bytes);
       if (bytes.hasRemaining() && !broken) {
         keep(bytes);
       }
@@ -180,7 +183,7 @@
 
     /** Guards against requests that are begun and never end, each of which would hold a descriptor for good. */
     private void awaitRest(int before) {
-      loop.after(REQUEST_TIME, () -> {
+      loop.after(requestTime, () -> {
         if (count == before && !broken) {
           broken = true;
           send(handler.unusable(408, "the request did not end in time"), false);
--- a/src/main/java/bitternpulley/opensearch/SearchFront.java
+++ b/src/main/java/bitternpulley/opensearch/SearchFront.java
@@ -166,6 +166,12 @@
     if (kind.effect() != Settings.Effect.SAFE && token == null) {
       throw SearchException.illegal("class [" + kind.name() + "] needs an Idempotency-Key header");
     }
+    int most = settings.limits().maxOpen() - 1;
+    if (search[0].parts().size() > most) {
+      // Guards against a refusal that invites another try of what will never fit.
+      throw SearchException.illegal("Trying to query " + search[0].parts().size()
+          + " shards, which is over the limit of " + most);
+    }
     double wanted = search[0].timeout();
     double time = wanted < 0 ? kind.deadline() : Math.min(wanted, kind.deadline());
     Router.Terms terms = new Router.Terms(!search[0].mayBePartial(), wanted >= 0);
--- a/src/main/java/bitternpulley/opensearch/SearchServers.java
+++ b/src/main/java/bitternpulley/opensearch/SearchServers.java
@@ -133,7 +133,9 @@
         cause.path("type").asText("exception"), cause.path("reason").asText("status " + response.status()));
     return switch (response.status()) {
       case 400 -> new Event.Faulted(id, failure);
-      case 429 -> new Event.Ended(id, Outcome.FULL, failure);
+      // Only this rejection proves that nothing has run; a tripped circuit breaker is a 429 too, and proves nothing.
+      case 429 -> new Event.Ended(id,
+          failure.type().endsWith("rejected_execution_exception") ? Outcome.FULL : Outcome.ERROR, failure);
       default -> new Event.Ended(id, Outcome.ERROR, failure);
     };
   }
--- a/src/main/java/bitternpulley/platform/Discovery.java
+++ b/src/main/java/bitternpulley/platform/Discovery.java
@@ -112,7 +112,8 @@
         return;
       }
       try {
-        ServerList list = ServerList.read(MAPPER.readTree(text), zones);
+        ServerList list = ServerList.read(MAPPER.readTree(text), zones,
+            e -> LOG.log(Level.WARNING, "discovery: left out: " + e.getMessage()));
         told.accept(list);
         revision = list.revision();
         gap = GAP;
--- a/src/test/java/bitternpulley/process/PlatformProcessTest.java
+++ b/src/test/java/bitternpulley/process/PlatformProcessTest.java
@@ -189,6 +189,28 @@
     });
   }
 
+  /** Guards against a watch that goes on in silence while what it should tell counts as told. */
+  @Test
+  public void aSilentWatchIsTakenUpAgain() {
+    Deployment.await("a second watch", () -> d.watches.size() >= 2);
+  }
+
+  /** Guards against one entry that cannot be read keeping the rest of a list from being heard. */
+  @Test
+  public void anEntryThatCannotBeUsedIsPassedOver() throws IOException {
+    d.servers.get(1).act = (index, section) -> Act.ERROR;
+    d.servers.get(3).act = (index, section) -> Act.ERROR;
+    d.tell(d.servers.get(1), "melting");
+    d.tell(d.servers.get(2), "removed");
+    Deployment.await("the removal is heeded", () -> {
+      try {
+        return d.ask("slot-search", "r" + System.nanoTime(), 1, 2).status() != 200;
+      } catch (IOException e) {
+        throw new AssertionError(e);
+      }
+    });
+  }
+
   @Test
   public void whatWasTakenBeforeSigtermIsAnswered() throws Exception {
     everyServer(Act.SILENT);
