--- a/src/main/java/bitternpulley/policy/Policy.java
+++ b/src/main/java/bitternpulley/policy/Policy.java
@@ -630,8 +630,9 @@
     Attempt a = p.lastOpen();
     double usual = usual();
     if (suspect(a.server)) {
-      // An attempt that must be called off for another first gets the time it was expected to take.
-      return a.sent + LATE_FACTOR_SUSPECT * Math.max(settings.limits().copies() ? 0 : a.expected, usual);
+      // Guards against parts that sit for seconds where little is hoped for: a suspect's own expected time is
+      // stretched by the very failures that made it one, so the others' time is the yardstick.
+      return a.sent + LATE_FACTOR_SUSPECT * usual;
     }
     double landing = p.query.waitUntil - LANDING_ROOM * usual;
     double counted = p.query.stepStart + rules.extraWindow() - HOLD;
--- a/src/test/java/bitternpulley/policy/PolicyTest.java
+++ b/src/test/java/bitternpulley/policy/PolicyTest.java
@@ -617,4 +617,30 @@
     r.to(5000);
     assertEquals(List.of("refuse 1 @997"), r.ends);
   }
+
+  /** Guards against a part that sits with a suspect for as long as that one's own, stretched figure says. */
+  @Test
+  void aSuspectsAttemptIsCalledOffByTheTimeOfTheOthers() {
+    Rig r = new Rig(Rig.settings(Rig.kind(Settings.Effect.SAFE, 1000, 9000, 0.3, 1, 0), false, FREE, 2)).servers();
+    learn(r, 4, 100);
+    String suspect = null;
+    for (int i = 0; i < 3; i++) {
+      long part = 10 * (50 + i);
+      int before = r.sends.size();
+      r.query(50 + i, 9000, new int[] {0});
+      String met = r.sends.get(before).server();
+      assertTrue(suspect == null || suspect.equals(met), "each trial goes to the suspect");
+      suspect = met;
+      if (i < 2) {
+        r.end(part, 0, Router.Outcome.FULL);
+        r.to(r.now + 100);
+        r.end(part, 1, Router.Outcome.OK);
+        r.to(r.now + 4500);
+      }
+    }
+    r.to(r.now + 190);
+    assertFalse(r.cancels.contains("520/0"));
+    r.to(r.now + 110);
+    assertTrue(r.cancels.contains("520/0"), "called off after twice the usual 100 ms");
+  }
 }
