--- /dev/null
+++ b/src/test/java/bitternpulley/PackagesTest.java
@@ -0,0 +1,55 @@
+package bitternpulley;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Dependencies point inward: what each package may know of the others. */
+public class PackagesTest {
+  private static final Path ROOT = Path.of("src/main/java/bitternpulley");
+  private static final Pattern USE = Pattern.compile("bitternpulley\\.([a-z]+)\\.");
+
+  @DataProvider
+  public Object[][] allowed() {
+    return new Object[][] {
+        {"policy", Set.of()}, {"net", Set.of()}, {"broker", Set.of("policy")}, {"config", Set.of("policy", "net")},
+        {"platform", Set.of("policy", "net", "broker", "config")},
+        {"opensearch", Set.of("policy", "net", "broker", "config")}, {"simhost", Set.of("policy", "config")}};
+  }
+
+  @Test(dataProvider = "allowed")
+  public void aPackageUsesOnlyWhatLiesFurtherIn(String name, Set<String> may) throws IOException {
+    try (Stream<Path> files = Files.list(ROOT.resolve(name))) {
+      for (Path file : files.toList()) {
+        String text = Files.readString(file);
+        Matcher uses = USE.matcher(text);
+        while (uses.find()) {
+          String used = uses.group(1);
+          if (!used.equals(name) && !may.contains(used)) {
+            throw new AssertionError(file + " uses " + used);
+          }
+        }
+        boolean inner = name.equals("policy") || name.equals("broker");
+        assertFalse(inner && Pattern.compile("java\\.(net|nio)|jackson").matcher(text).find(), file + " knows a wire");
+      }
+    }
+  }
+
+  @Test
+  public void everyPackageIsListed() throws IOException {
+    try (Stream<Path> files = Files.list(ROOT)) {
+      List<String> packages = files.filter(Files::isDirectory).map(p -> p.getFileName().toString()).sorted().toList();
+      assertEquals(packages, List.of("broker", "config", "net", "opensearch", "platform", "policy", "simhost"));
+    }
+  }
+}
