--- a/src/main/java/bitternpulley/policy/Policy.java
+++ b/src/main/java/bitternpulley/policy/Policy.java
@@ -93,6 +93,8 @@
   private static final int SUSPECT_STREAK = 2;
   /** A server is silent when its oldest part waits so many usual latencies and nothing came since. */
   private static final double SILENCE_FACTOR = 4;
+  /** So many usual latencies is the most that a server's own counts as in that. */
+  private static final double SILENCE_STRETCH = 1.5;
   /** Ms until a suspect's first trial part, and the longest pause between trials. */
   private static final double TRIAL_GAP = 1000;
   private static final double TRIAL_GAP_MOST = 4000;
@@ -820,7 +822,9 @@
   }
 
   private double silenceAfter(Server s) {
-    return SILENCE_FACTOR * Math.max(usual(), s.latency);
+    // Guards against a server that grows less suspect the longer it keeps silent: each part called off there
+    // adds to its smoothed latency, which must not stretch the time it is given without bound.
+    return SILENCE_FACTOR * Math.max(usual(), Math.min(s.latency, SILENCE_STRETCH * usual()));
   }
 
   /** Smoothed latency, at least the age of the oldest part out, times the tries that a success takes. */
--- a/src/test/java/bitternpulley/policy/PolicyTest.java
+++ b/src/test/java/bitternpulley/policy/PolicyTest.java
@@ -643,4 +643,23 @@
     r.to(r.now + 110);
     assertTrue(r.cancels.contains("520/0"), "called off after twice the usual 100 ms");
   }
+
+  /** Guards against silence that is measured by a latency which silence itself has stretched. */
+  @Test
+  void aSlowServersSilenceIsMeasuredByTheOthers() {
+    Rig r = new Rig(Rig.settings(Rig.kind(Settings.Effect.SAFE, 1000, 9000, 0.3, 1, 0), false, FREE, 2)).servers();
+    learn(r, 4, 100);
+    r.list(Router.ListKind.CHANGES, Rig.member("s1", 1, Router.ServerState.DRAINING, 0));
+    for (int i = 0; i < 4; i++) {
+      r.query(50 + i, 9000, new int[] {0});
+      r.to(r.now + 390);
+      r.end(10 * (50 + i), 0, Router.Outcome.OK);
+    }
+    r.query(60, 9000, new int[] {0});
+    r.list(Router.ListKind.CHANGES, Rig.member("s1", 1, Router.ServerState.LIVE, 0));
+    r.to(r.now + 450);
+    assertFalse(r.cancels.contains("600/0"));
+    r.to(r.now + 300);
+    assertTrue(r.cancels.contains("600/0"), "silent after 4 x 1.5 x 100 ms");
+  }
 }
