Read the configuration anew on SIGHUP and move the watch to the new discovery

Checked: LB_DISCOVERY went before the file in ConfigurationReader.value, so a reload that only read again would have found the old address; the watch's address was final in Discovery. Done: HangupSignal has the file read off the loop; ConfigurationReader.reread lets the file's discovery prevail; Discovery.moveTo keeps the old watch until the new one speaks, resumes by revision and passes over what is older. A file that cannot be used is logged with its key.

--- a/src/main/java/bitternpulley/Aggregator.java
+++ b/src/main/java/bitternpulley/Aggregator.java
@@ -44,6 +44,7 @@
   private final SlotServers servers;
   private final HttpServer front;
   private final Optional<SearchSide> search;
+  private final Discovery discovery;
   private boolean anyServer;
   private boolean draining;
 
@@ -62,6 +63,8 @@
     front = new HttpServer(loop, MOST_BODY, share, HttpServer.REQUEST_TIME,
         new QueryFront(config.settings(), broker, servers, () -> anyServer && !draining));
     search = searchConfig.map(c -> searchSide(c, clock, connectTimeout, share));
+    discovery = new Discovery(loop, config.discovery(), config.zones(), config.known().revision(),
+        list -> told(list, list.complete() ? Router.ListKind.COMPLETE : Router.ListKind.CHANGES));
   }
 
   private SearchSide searchSide(SearchConfiguration c, Clock clock, double connectTimeout, int share) {
@@ -83,14 +86,14 @@
       System.exit(BAD_CONFIGURATION);
       return;
     }
+    HangupSignal.onEach(aggregator::reload);
     Runtime.getRuntime().addShutdownHook(new Thread(aggregator::drain, "drain"));
     aggregator.loop.execute(aggregator::start);
   }
 
   private void start() {
     told(config.known(), Router.ListKind.REMEMBERED);
-    new Discovery(loop, config.discovery(), config.zones(), config.known().revision(),
-        list -> told(list, list.complete() ? Router.ListKind.COMPLETE : Router.ListKind.CHANGES)).start();
+    discovery.start();
     // The platform's front comes last: it is what says that the program is ready.
     search.ifPresent(s -> listen(s.front(), s.listen()));
     listen(front, config.listen());
@@ -116,6 +119,26 @@
     broker.submit(new Event.Told(kind, list.entries().stream().map(ServerList.Entry::member).toList()));
   }
 
+  /** Runs off the loop's thread, which must not wait for a file. A file that cannot be used changes nothing. */
+  private void reload() {
+    try {
+      Configuration fresh = ConfigurationReader.reread(System.getenv());
+      loop.execute(() -> reconfigured(fresh));
+    } catch (ConfigException e) {
+      LOG.log(Level.WARNING, "the configuration before stays: " + e.getMessage());
+    }
+  }
+
+  /** Where discovery is can change while the program runs; what else the file says counts from the next start. */
+  private void reconfigured(Configuration fresh) {
+    LOG.log(Level.INFO, "the configuration was read again");
+    if (!fresh.settings().equals(config.settings()) || !fresh.listen().equals(config.listen())
+        || !fresh.name().equals(config.name()) || fresh.sockets() != config.sockets()) {
+      LOG.log(Level.WARNING, "the new configuration differs in more than 'discovery': that counts from the next start");
+    }
+    discovery.moveTo(fresh.discovery());
+  }
+
   /** Runs as the shutdown hook: the program ends when this returns. The JDK's own hook may end logging meanwhile. */
   private void drain() {
     loop.execute(() -> {
--- a/src/main/java/bitternpulley/config/ConfigurationReader.java
+++ b/src/main/java/bitternpulley/config/ConfigurationReader.java
@@ -8,6 +8,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -46,6 +47,16 @@
         new Configuration.Wire((int) streams, keepalive), zones);
   }
 
+  /**
+   * Reads all again, after the file was replaced. What the file says of discovery now goes before LB_DISCOVERY, which
+   * is as old as the program.
+   */
+  public static Configuration reread(Map<String, String> environment) {
+    Map<String, String> left = new HashMap<>(environment);
+    left.remove("LB_DISCOVERY");
+    return read(left);
+  }
+
   /** The names of the zones, by which discovery calls them. */
   public static List<String> zones(JsonNode settings) {
     List<String> zones = new ArrayList<>();
--- a/src/main/java/bitternpulley/platform/Discovery.java
+++ b/src/main/java/bitternpulley/platform/Discovery.java
@@ -35,11 +35,14 @@
   private static final int MOST_LINE = 1 << 20;
 
   private final EventLoop loop;
-  private final HostPort at;
+  private HostPort at;
   private final List<String> zones;
   private final Consumer<ServerList> told;
   private long revision;
   private double gap = GAP;
+  private Watch current;
+  /** The watch at the address before, heard until the current one speaks; null once that has. */
+  private Watch leaving;
 
   public Discovery(EventLoop loop, HostPort at, List<String> zones, long revision, Consumer<ServerList> told) {
     this.loop = loop;
@@ -51,7 +54,23 @@
 
   /** Begins to watch, for good. */
   public void start() {
-    new Watch().open();
+    current = new Watch();
+    current.open();
+  }
+
+  /** Watches at another address from now on, from the revision reached; the old one is heard till the new one speaks. */
+  public void moveTo(HostPort to) {
+    if (to.equals(at)) {
+      return;
+    }
+    LOG.log(Level.INFO, "discovery moves from " + at + " to " + to);
+    at = to;
+    gap = GAP;
+    if (leaving != null) {
+      leaving.end();
+    }
+    leaving = current;
+    start();
   }
 
   private final class Watch implements Connection.Owner, HttpParser.Sink {
@@ -61,6 +80,9 @@
     private int heard;
 
     void open() {
+      if (this != current) {
+        return; // moved while it waited for its turn
+      }
       connection = Connection.open(loop, at, CONNECT_TIMEOUT, this, () -> {
         String get = "GET /api/targets?watch=1&from=" + revision + " HTTP/1.1\r\nHost: " + at + "\r\n\r\n";
         connection.write(ByteBuffer.wrap(get.getBytes(StandardCharsets.US_ASCII)), () -> { });
@@ -95,6 +117,10 @@
       if (head.status() != 200) {
         throw new HttpException(502, "status " + head.status());
       }
+      if (this == current && leaving != null) {
+        leaving.end();
+        leaving = null;
+      }
     }
 
     @Override
@@ -119,6 +145,11 @@
       try {
         ServerList list = ServerList.read(MAPPER.readTree(text), zones,
             e -> LOG.log(Level.WARNING, "discovery: left out: " + e.getMessage()));
+        if (list.revision() < revision) {
+          // Guards against an agent that lags behind the one before it: servers told to be gone would come back.
+          LOG.log(Level.WARNING, "discovery tells revision " + list.revision() + " after " + revision);
+          return;
+        }
         told.accept(list);
         revision = list.revision();
         gap = GAP;
@@ -129,13 +160,18 @@
 
     @Override
     public void end() {
-      connection.close();
+      if (connection != null) {
+        connection.close();
+      }
     }
 
     @Override
     public void closed() {
-      loop.after(gap, new Watch()::open);
-      gap = Math.min(2 * gap, GAP_MOST);
+      if (this == current) {
+        current = new Watch();
+        loop.after(gap, current::open);
+        gap = Math.min(2 * gap, GAP_MOST);
+      }
     }
   }
 }
--- a/src/test/java/bitternpulley/config/ConfigurationTest.java
+++ b/src/test/java/bitternpulley/config/ConfigurationTest.java
@@ -39,6 +39,16 @@
         new Router.Member("s-1", 1, 2, Router.ServerState.DRAINING, 7));
   }
 
+  /** Guards against a reload that finds discovery where it was, since the variable is as old as the program. */
+  @Test
+  public void onceReplacedTheFileGoesBeforeTheVariable() throws IOException {
+    Path file = Files.createTempFile("config", ".json");
+    Files.writeString(file, GOOD);
+    Map<String, String> told = Map.of("LB_CONFIG", file.toString(), "LB_DISCOVERY", "127.0.0.1:9");
+    assertEquals(ConfigurationReader.read(told).discovery().port(), 9);
+    assertEquals(ConfigurationReader.reread(told).discovery().port(), 2);
+  }
+
   @DataProvider
   public Object[][] faults() {
     return new Object[][] {
--- a/src/test/java/bitternpulley/process/Deployment.java
+++ b/src/test/java/bitternpulley/process/Deployment.java
@@ -35,7 +35,7 @@
   final ConcurrentLinkedQueue<String> output = new ConcurrentLinkedQueue<>();
   final String listen;
   final String searchListen;
-  private final ServerSocket discovery;
+  private ServerSocket discovery;
   private final List<Socket> watching = new CopyOnWriteArrayList<>();
   private final ObjectNode config = JSON.createObjectNode();
   private final Path folder;
@@ -51,7 +51,7 @@
     discovery = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
     listen = "127.0.0.1:" + freePort();
     searchListen = "127.0.0.1:" + freePort();
-    StandIn.daemon(this::serveDiscovery);
+    StandIn.daemon(() -> serveDiscovery(discovery));
     config.put("name", "n0").put("listen", listen).put("discovery", "127.0.0.1:" + discovery.getLocalPort())
         .put("seed", "8c1f30d27a5be964");
     config.putObject("limits").put("cores", 1.0).put("memory_mb", 192).put("sockets", 1024);
@@ -158,9 +158,9 @@
 
   // --- Discovery -------------------------------------------------------------------------------
 
-  private void serveDiscovery() throws IOException {
+  private void serveDiscovery(ServerSocket at) throws IOException {
     while (true) {
-      Socket socket = discovery.accept();
+      Socket socket = at.accept();
       String target = StandIn.head(socket.getInputStream())[0];
       watches.add(target);
       watching.add(socket);
@@ -179,6 +179,21 @@
     }
   }
 
+  /** Has discovery answer at another address only; the watches that are open stay so. */
+  void moveDiscovery() throws IOException {
+    discovery.close();
+    ServerSocket moved = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+    discovery = moved;
+    StandIn.daemon(() -> serveDiscovery(moved));
+    config.put("discovery", "127.0.0.1:" + moved.getLocalPort());
+  }
+
+  /** Replaces the configuration file and sends SIGHUP. */
+  void hangup(String text) throws Exception {
+    Files.writeString(folder.resolve("config.json"), text);
+    new ProcessBuilder("kill", "-HUP", String.valueOf(process.pid())).start().waitFor();
+  }
+
   void breakWatches() throws IOException {
     for (Socket s : watching) {
       s.close();
--- a/src/test/java/bitternpulley/process/PlatformProcessTest.java
+++ b/src/test/java/bitternpulley/process/PlatformProcessTest.java
@@ -214,6 +214,45 @@
     assertFalse(d.output.stream().anyMatch(l -> l.contains("ERROR") || l.contains("SEVERE")), d.output.toString());
   }
 
+  /** Guards against a program that SIGHUP ends, and against a watch that stays where discovery no longer is. */
+  @Test
+  public void onSighupTheWatchMovesAndNothingIsForgotten() throws Exception {
+    d.tell(d.servers.get(1), "removed");
+    everyServer(Act.SILENT);
+    try (Socket client = Deployment.connect(d.listen)) {
+      client.getOutputStream().write(Deployment.query("slot-search", "held", 4.0, 2).getBytes());
+      Deployment.await("it is sent", () -> d.log.all().size() == 1);
+      int before = d.watches.size();
+      d.moveDiscovery();
+      d.hangup(d.config().toString());
+      Deployment.await("a watch from the revision reached", () -> d.watches.size() > before
+          && d.watches.get(d.watches.size() - 1).contains("from=42"));
+      everyServer(Act.SERVE);
+      assertEquals(Deployment.reply(client).status(), 200, "a request in work goes on");
+    }
+    assertEquals(d.ask("slot-search", "without", 0, 1).status(), 200, "the removal is remembered");
+    assertTrue(d.servers.get(1).heads.isEmpty());
+    d.tell(d.servers.get(2), "removed");
+    Deployment.await("an answer without the server removed", () -> {
+      try {
+        int calls = d.servers.get(2).heads.size();
+        return d.ask("slot-search", "m" + System.nanoTime(), 2).status() == 200
+            && d.servers.get(2).heads.size() == calls;
+      } catch (IOException e) {
+        throw new AssertionError(e);
+      }
+    });
+  }
+
+  @Test
+  public void aFileThatCannotBeUsedChangesNothing() throws Exception {
+    d.hangup(d.config().toString().replace("\"discovery\":\"127", "\"discovery\":\"here"));
+    Deployment.await("the key", () -> d.output.stream().anyMatch(l -> l.contains("'discovery'")));
+    d.hangup("{");
+    Deployment.await("the variable", () -> d.output.stream().anyMatch(l -> l.contains("LB_CONFIG")));
+    assertEquals(d.ask("slot-search", "on", 0, 1).status(), 200);
+  }
+
   @Test
   public void aFaultyConfigurationIsNamed() throws Exception {
     try (Deployment bad = new Deployment()) {
