Start from a class archive and rehearse before ready; poll and complete on one thread

Logged each second: 0.8 s of processor time until it listens, then 1.0 s of compiling and as much in code still interpreted. Ruled out: garbage collection (12 ms a s), the module itself (0.14 ms a query once compiled, by a loop of the rehearsal alone), C1 inlining and threshold flags (no gain).

--- a/src/main/java/bitternpulley/Aggregator.java
+++ b/src/main/java/bitternpulley/Aggregator.java
@@ -18,6 +18,7 @@
 import bitternpulley.opensearch.SearchServers;
 import bitternpulley.platform.Discovery;
 import bitternpulley.platform.QueryFront;
+import bitternpulley.platform.Rehearsal;
 import bitternpulley.platform.SlotServers;
 import bitternpulley.policy.Router;
 import java.io.IOException;
@@ -32,7 +33,7 @@
   /** Descriptors kept for the JVM's own files, discovery and the listeners. */
   private static final int RESERVE = 64;
   /** Ms after SIGTERM for which connections are still taken: clients go on coming until the front has noticed. */
-  private static final double GRACE = 700;
+  private static final double GRACE = 500;
   private static final double DRAIN_CHECK = 20;
   /** Exit status of a configuration that cannot be used. */
   private static final int BAD_CONFIGURATION = 2;
@@ -47,6 +48,7 @@
   private final Discovery discovery;
   private boolean anyServer;
   private boolean draining;
+  private boolean rehearsed;
 
   /** The second front, where one is configured: its servers, its listener and the address of that. */
   private record SearchSide(SearchServers servers, HttpServer front, HostPort listen) {}
@@ -60,8 +62,10 @@
     double connectTimeout = config.settings().limits().connectTimeout();
     servers = new SlotServers(loop, broker, config.wire(), connectTimeout, share);
     broker.add(servers);
-    front = new HttpServer(loop, MOST_BODY, share, HttpServer.REQUEST_TIME,
-        new QueryFront(config.settings(), broker, servers, () -> anyServer && !draining));
+    QueryFront queries =
+        new QueryFront(config.settings(), broker, servers, () -> anyServer && rehearsed && !draining);
+    servers.answersTo(queries::reply);
+    front = new HttpServer(loop, MOST_BODY, share, HttpServer.REQUEST_TIME, queries);
     search = searchConfig.map(c -> searchSide(c, clock, connectTimeout, share));
     discovery = new Discovery(loop, config.discovery(), config.zones(), config.known().revision(),
         list -> told(list, list.complete() ? Router.ListKind.COMPLETE : Router.ListKind.CHANGES));
@@ -76,7 +80,20 @@
     return new SearchSide(to, server, c.listen());
   }
 
+  /** Serves until SIGTERM. */
   static void main() {
+    start(() -> { });
+  }
+
+  /**
+   * Starts, rehearses and ends. The build has the JVM write an archive of the classes that this takes, which the
+   * {@code run} line maps: guards against starts that spend most of their part of a core on reading and checking classes.
+   */
+  static void rehearse() {
+    start(() -> new Thread(() -> System.exit(0), "exit").start());
+  }
+
+  private static void start(Runnable rehearsal) {
     Aggregator aggregator;
     try {
       Configuration config = ConfigurationReader.read(System.getenv());
@@ -88,15 +105,19 @@
     }
     HangupSignal.onEach(aggregator::reload);
     Runtime.getRuntime().addShutdownHook(new Thread(aggregator::drain, "drain"));
-    aggregator.loop.execute(aggregator::start);
+    aggregator.loop.execute(() -> aggregator.serve(rehearsal));
   }
 
-  private void start() {
+  private void serve(Runnable rehearsal) {
     told(config.known(), Router.ListKind.REMEMBERED);
     discovery.start();
     // The platform's front comes last: it is what says that the program is ready.
     search.ifPresent(s -> listen(s.front(), s.listen()));
     listen(front, config.listen());
+    new Rehearsal(config.settings(), loop).play(() -> {
+      rehearsed = true;
+      rehearsal.run();
+    });
   }
 
   private void listen(HttpServer server, HostPort at) {
--- a/src/main/java/bitternpulley/Main.java
+++ b/src/main/java/bitternpulley/Main.java
@@ -2,7 +2,7 @@
 
 import java.io.IOException;
 
-/** Starts one of the two programs: the real aggregator, or the decision module on the simulator's pipe. */
+/** Starts the real aggregator, its rehearsal at the build, or the decision module on the simulator's pipe. */
 public final class Main {
   private Main() {}
 
@@ -10,9 +10,10 @@
     String what = args.length == 1 ? args[0] : "";
     switch (what) {
       case "serve" -> Aggregator.main();
+      case "rehearse" -> Aggregator.rehearse();
       case "simhost" -> bitternpulley.simhost.Main.main(args);
       default -> {
-        System.err.println("usage: serve | simhost");
+        System.err.println("usage: serve | simhost | rehearse");
         System.exit(2);
       }
     }
--- a/src/main/java/bitternpulley/net/Connection.java
+++ b/src/main/java/bitternpulley/net/Connection.java
@@ -88,18 +88,20 @@
     return new CompletionHandler<>() {
       @Override
       public void completed(T result, Void nothing) {
-        try {
-          done.with(result);
-        } catch (RuntimeException e) {
-          // Guards against one bad message ending more than its own connection.
-          LOG.log(Level.ERROR, "a connection's handler failed", e);
-          of.close();
-        }
+        of.loop.inTurn(() -> {
+          try {
+            done.with(result);
+          } catch (RuntimeException e) {
+            // Guards against one bad message ending more than its own connection.
+            LOG.log(Level.ERROR, "a connection's handler failed", e);
+            of.close();
+          }
+        });
       }
 
       @Override
       public void failed(Throwable e, Void nothing) {
-        of.close();
+        of.loop.inTurn(of::close);
       }
     };
   }
--- a/src/main/java/bitternpulley/net/EventLoop.java
+++ b/src/main/java/bitternpulley/net/EventLoop.java
@@ -4,27 +4,32 @@
 import java.io.UncheckedIOException;
 import java.lang.System.Logger.Level;
 import java.nio.channels.AsynchronousChannelGroup;
+import java.util.ArrayDeque;
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.ReentrantLock;
 
 /**
- * The one thread on which all completions and alarms run. Its queue is bounded by what feeds it: each channel has
- * at most a read and a write under way, and each request a bounded number of alarms.
+ * Runs all completions and alarms one at a time. Completions run on the thread that waits for the sockets, which
+ * spares each of them the hand-over to another thread; alarms have a thread of their own, and both take turns by one
+ * lock. The queues are bounded by what feeds them: each channel has at most a read and a write under way, and each
+ * request a bounded number of alarms.
  */
 public final class EventLoop {
   private static final System.Logger LOG = System.getLogger(EventLoop.class.getName());
-  private final ScheduledThreadPoolExecutor executor = new ScheduledThreadPoolExecutor(1, r -> {
-    Thread thread = new Thread(r, "loop");
-    thread.setDaemon(false);
-    return thread;
-  });
+  /** Alarms ring at multiples of so many ns: those that are due about together cost one waking of their thread. */
+  private static final long GRID = 2_000_000;
+
+  private final ReentrantLock turn = new ReentrantLock();
+  private final ArrayDeque<Runnable> next = new ArrayDeque<>();
+  private final ScheduledThreadPoolExecutor alarms = new ScheduledThreadPoolExecutor(1, r -> new Thread(r, "alarms"));
   private final AsynchronousChannelGroup group;
 
   public EventLoop() {
-    executor.setRemoveOnCancelPolicy(true);
+    alarms.setRemoveOnCancelPolicy(true);
     try {
-      group = AsynchronousChannelGroup.withThreadPool(executor);
+      group = AsynchronousChannelGroup.withFixedThreadPool(1, r -> new Thread(r, "loop"));
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
@@ -34,24 +39,42 @@
     return group;
   }
 
-  /** Runs a task on the loop's thread, after what is queued. */
+  /** Runs a task in a turn of its own, now or, within another turn, at the end of that. */
   public void execute(Runnable task) {
-    executor.execute(guarded(task));
+    if (turn.isHeldByCurrentThread()) {
+      next.add(task);
+    } else {
+      inTurn(task);
+    }
   }
 
   /** Runs a task after so many milliseconds; the returned future takes it back. */
   public Future<?> after(double ms, Runnable task) {
-    return executor.schedule(guarded(task), (long) (Math.max(0, ms) * 1e6), TimeUnit.NANOSECONDS);
+    long now = System.nanoTime();
+    long due = now + (long) (Math.max(0, ms) * 1e6);
+    long wait = due + GRID - Math.floorMod(due, GRID) - now;
+    return alarms.schedule(() -> inTurn(task), wait, TimeUnit.NANOSECONDS);
   }
 
-  /** Guards against errors that vanish: an executor keeps to itself what its tasks throw. */
-  static Runnable guarded(Runnable task) {
-    return () -> {
-      try {
-        task.run();
-      } catch (RuntimeException e) {
-        LOG.log(Level.ERROR, "a task failed", e);
+  /** Runs a task while nothing else of the loop runs, then what it left to be done. */
+  void inTurn(Runnable task) {
+    turn.lock();
+    try {
+      guarded(task);
+      while (turn.getHoldCount() == 1 && !next.isEmpty()) {
+        guarded(next.poll());
       }
-    };
+    } finally {
+      turn.unlock();
+    }
+  }
+
+  /** Guards against errors that vanish: an executor keeps to itself what its tasks throw. */
+  private static void guarded(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException e) {
+      LOG.log(Level.ERROR, "a task failed", e);
+    }
   }
 }
--- a/src/main/java/bitternpulley/net/HttpServer.java
+++ b/src/main/java/bitternpulley/net/HttpServer.java
@@ -79,20 +79,24 @@
     listener.accept(null, new CompletionHandler<AsynchronousSocketChannel, Void>() {
       @Override
       public void completed(AsynchronousSocketChannel channel, Void nothing) {
-        accepting = false;
-        Session session = new Session(channel);
-        sessions.add(session);
-        session.connection.start(session);
-        accept();
+        loop.inTurn(() -> {
+          accepting = false;
+          Session session = new Session(channel);
+          sessions.add(session);
+          session.connection.start(session);
+          accept();
+        });
       }
 
       @Override
       public void failed(Throwable e, Void nothing) {
-        accepting = false;
-        if (listener.isOpen()) {
-          LOG.log(Level.WARNING, "accept failed: " + e);
-          loop.after(ACCEPT_PAUSE, HttpServer.this::accept);
-        }
+        loop.inTurn(() -> {
+          accepting = false;
+          if (listener.isOpen()) {
+            LOG.log(Level.WARNING, "accept failed: " + e);
+            loop.after(ACCEPT_PAUSE, HttpServer.this::accept);
+          }
+        });
       }
     });
   }
--- /dev/null
+++ b/src/main/java/bitternpulley/platform/Frames.java
@@ -0,0 +1,58 @@
+package bitternpulley.platform;
+
+import bitternpulley.broker.Effect;
+import bitternpulley.broker.Request;
+import bitternpulley.net.FrameCodec;
+import bitternpulley.policy.Router.Outcome;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+/** What stands in the frames to and from slot servers: each encoded and decoded here, once. */
+final class Frames {
+  private Frames() {}
+
+  /** One answer: the part's id, how the attempt ended, and the value where it was served. */
+  record Answer(String id, Outcome outcome, PartValue value) {}
+
+  static String partId(Effect.Start attempt) {
+    PlatformQuery query = (PlatformQuery) attempt.request().payload();
+    return query.id() + "." + query.slices().get(attempt.slice()).shard();
+  }
+
+  /** A call of one part. */
+  static ByteBuffer call(Effect.Start attempt, String id) {
+    PlatformQuery query = (PlatformQuery) attempt.request().payload();
+    Request.Slice slice = query.slices().get(attempt.slice());
+    byte[] text = query.filter().getBytes(StandardCharsets.UTF_8);
+    String line = id + " " + slice.shard() + " d=" + Math.max(1, Math.round(attempt.timeout()))
+        + (query.token() == null ? "" : ",k=" + query.token()) + " " + text.length + "\n";
+    byte[] head = line.getBytes(StandardCharsets.US_ASCII);
+    return FrameCodec.encode('1', ByteBuffer.allocate(head.length + text.length).put(head).put(text).array());
+  }
+
+  /** The word that a part is given up. */
+  static ByteBuffer giveUp(String id) {
+    return FrameCodec.encode('2', id.getBytes(StandardCharsets.US_ASCII));
+  }
+
+  /** Reads an answer; throws IllegalArgumentException where it is spoilt. */
+  static Answer answer(byte[] rest) {
+    int line = 0;
+    while (line < rest.length && rest[line] != '\n') {
+      line++;
+    }
+    String[] words = new String(rest, 0, line, StandardCharsets.US_ASCII).split(" ");
+    if (line == rest.length || words.length < 2) {
+      throw new IllegalArgumentException("an answer without a head");
+    }
+    Outcome outcome = switch (words[1]) {
+      case "S" -> Outcome.OK;
+      case "E" -> Outcome.ERROR;
+      case "B" -> Outcome.FULL;
+      default -> throw new IllegalArgumentException("an answer that ends '" + words[1] + "'");
+    };
+    byte[] value = Arrays.copyOfRange(rest, line + 1, rest.length);
+    return new Answer(words[0], outcome, outcome == Outcome.OK ? new PartValue(value) : null);
+  }
+}
--- a/src/main/java/bitternpulley/platform/QueryFront.java
+++ b/src/main/java/bitternpulley/platform/QueryFront.java
@@ -3,6 +3,7 @@
 import bitternpulley.policy.Router;
 import bitternpulley.policy.Settings;
 import bitternpulley.broker.Broker;
+import bitternpulley.broker.Dialect;
 import bitternpulley.broker.Effect;
 import bitternpulley.broker.Event;
 import bitternpulley.broker.Payload;
@@ -25,15 +26,14 @@
 
   private final Settings settings;
   private final Broker broker;
-  private final SlotServers servers;
+  private final Dialect servers;
   private final BooleanSupplier ready;
 
-  public QueryFront(Settings settings, Broker broker, SlotServers servers, BooleanSupplier ready) {
+  public QueryFront(Settings settings, Broker broker, Dialect servers, BooleanSupplier ready) {
     this.settings = settings;
     this.broker = broker;
     this.servers = servers;
     this.ready = ready;
-    servers.answersTo(this::reply);
   }
 
   @Override
@@ -65,7 +65,8 @@
         text.getBytes(StandardCharsets.UTF_8));
   }
 
-  private void reply(Effect.Reply reply) {
+  /** Delivers a final answer. */
+  public void reply(Effect.Reply reply) {
     PlatformQuery query = (PlatformQuery) reply.request().payload();
     query.exchange().reply(response(reply));
   }
--- /dev/null
+++ b/src/main/java/bitternpulley/platform/Rehearsal.java
@@ -0,0 +1,188 @@
+package bitternpulley.platform;
+
+import bitternpulley.broker.Broker;
+import bitternpulley.broker.Dialect;
+import bitternpulley.broker.Effect;
+import bitternpulley.broker.Event;
+import bitternpulley.broker.Reducer;
+import bitternpulley.net.EventLoop;
+import bitternpulley.net.FrameCodec;
+import bitternpulley.net.HttpHead;
+import bitternpulley.net.HttpParser;
+import bitternpulley.net.HttpServer;
+import bitternpulley.policy.Router;
+import bitternpulley.policy.Router.Outcome;
+import bitternpulley.policy.Settings;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+/**
+ * Plays made-up queries through decoding, core, module and encoding before the program says that it is ready. Guards
+ * against a start in which the first seconds' queries wait for classes to load and code to be compiled, on a part of a
+ * core. All of it has a core, a clock and servers of its own, which are thrown away: nothing goes over a socket, and
+ * nothing is learned from it.
+ */
+public final class Rehearsal implements Dialect {
+  /** Queries played, and the ms after which no more are begun, however many were played. */
+  private static final int QUERIES = 150;
+  private static final double MOST_TIME = 1200;
+  /** Queries played before others on the loop get their turn. */
+  private static final int AT_ONCE = 10;
+  /** Ms of the made-up clock between queries. */
+  private static final double STEP = 20;
+  private static final int MOST_PARTS = 8;
+  /** Each so many-th attempt fails at once, is refused, or gets no answer. */
+  private static final int FAILS = 13;
+  private static final int FULL = 19;
+  private static final int SILENT = 17;
+
+  private record Alarm(double at, Runnable task) {}
+
+  private final Settings settings;
+  private final EventLoop loop;
+  private final Broker broker;
+  private final QueryFront front;
+  private final PriorityQueue<Alarm> alarms = new PriorityQueue<>(Comparator.comparingDouble(Alarm::at));
+  private final List<Effect.Start> out = new ArrayList<>();
+  private double time = 1;
+  private int played;
+  private int attempts;
+  private int answered;
+
+  public Rehearsal(Settings settings, EventLoop loop) {
+    this.settings = settings;
+    this.loop = loop;
+    broker = new Broker(new Reducer(settings, 1, time), () -> time,
+        (ms, task) -> alarms.add(new Alarm(time + ms, task)));
+    front = new QueryFront(settings, broker, this, () -> false);
+    broker.add(this);
+    broker.submit(new Event.Told(Router.ListKind.REMEMBERED, IntStream.range(0, settings.layout().cells())
+        .mapToObj(c -> new Router.Member("r" + c, c % 2, c, Router.ServerState.LIVE, 0)).toList()));
+  }
+
+  /** Plays a few queries at a time; {@code done} runs once all are played or the time is up. */
+  public void play(Runnable done) {
+    long end = System.nanoTime() + (long) (MOST_TIME * 1e6);
+    playSome(end, done);
+  }
+
+  private void playSome(long end, Runnable done) {
+    for (int i = 0; i < AT_ONCE; i++) {
+      playOne();
+    }
+    if (played < QUERIES && System.nanoTime() < end) {
+      loop.execute(() -> playSome(end, done));
+    } else {
+      done.run();
+    }
+  }
+
+  /** Queries answered so far, of {@link #played}. */
+  int answered() {
+    return answered;
+  }
+
+  int played() {
+    return played;
+  }
+
+  /** One query, and the ends of the attempts that it set off. */
+  void playOne() {
+    HttpParser parser = new HttpParser(false, Short.MAX_VALUE, new Sink());
+    parser.read(ByteBuffer.wrap(query(played++).getBytes(StandardCharsets.US_ASCII)));
+    time += STEP;
+    while (!alarms.isEmpty() && alarms.peek().at() <= time) {
+      alarms.poll().task().run();
+    }
+    List<Effect.Start> sent = List.copyOf(out);
+    out.clear();
+    sent.forEach(this::end);
+  }
+
+  private String query(int n) {
+    Settings.QueryClass kind = settings.classes().get(n % settings.classes().size());
+    int shards = settings.layout().shards();
+    int parts = Math.min(1 + n % MOST_PARTS, shards);
+    String slices = IntStream.range(0, parts).mapToObj(i -> "{\"slice\":" + (n + i) % shards + ",\"mass\":" + 1.0 / parts
+        + "}").collect(Collectors.joining(","));
+    String body = "{\"slices\":[" + slices + "],\"filter\":\"c41e77d0\"}";
+    return "POST /" + kind.name() + " HTTP/1.1\r\nHost: backend.local\r\nRequest-Id: r" + n + "\r\nCookie: obj=" + n
+        + "\r\nRequest-Timeout: " + kind.deadline() / 1000 + "\r\nIdempotency-Key: k" + n + "\r\nContent-Length: "
+        + body.length() + "\r\n\r\n" + body;
+  }
+
+  private void end(Effect.Start attempt) {
+    attempts++;
+    String id = Frames.partId(attempt);
+    Frames.call(attempt, id);
+    if (attempts % SILENT == 0) {
+      return;
+    }
+    String end = attempts % FAILS == 0 ? "E" : attempts % FULL == 0 ? "B" : "S";
+    ByteBuffer frame = FrameCodec.encode('5', (id + " " + end + " 0 -\n5be2a07c19f04d63")
+        .getBytes(StandardCharsets.US_ASCII));
+    new FrameCodec().read(frame, f -> {
+      Frames.Answer answer = Frames.answer(f.rest());
+      broker.submit(new Event.Ended(attempt.id(), answer.outcome(), answer.value()));
+    });
+  }
+
+  @Override
+  public void start(Effect.Start attempt) {
+    out.add(attempt);
+  }
+
+  @Override
+  public void abandon(Effect.Abandon attempt) {
+    Frames.giveUp(String.valueOf(attempt.id().part()));
+    broker.submit(new Event.Abandoned(attempt.id()));
+  }
+
+  @Override
+  public void reply(Effect.Reply reply) {
+    front.reply(reply);
+  }
+
+  @Override
+  public void closeIdle(String server) {
+    // There are no connections.
+  }
+
+  /** Hands each query on as the listener would. */
+  private final class Sink implements HttpParser.Sink, HttpServer.Exchange {
+    private HttpHead head;
+    private byte[] body = new byte[0];
+
+    @Override
+    public void head(HttpHead head) {
+      this.head = head;
+    }
+
+    @Override
+    public void body(ByteBuffer piece) {
+      body = new byte[piece.remaining()];
+      piece.get(body);
+    }
+
+    @Override
+    public void end() {
+      front.handle(new HttpServer.Request(head, body), this);
+    }
+
+    @Override
+    public void reply(HttpServer.Response response) {
+      answered += response.status() == 200 ? 1 : 0;
+    }
+
+    @Override
+    public void onGone(Runnable gone) {
+      // Its clients stay.
+    }
+  }
+}
--- a/src/main/java/bitternpulley/platform/SlotServers.java
+++ b/src/main/java/bitternpulley/platform/SlotServers.java
@@ -6,7 +6,6 @@
 import bitternpulley.broker.Dialect;
 import bitternpulley.broker.Effect;
 import bitternpulley.broker.Event;
-import bitternpulley.broker.Request;
 import bitternpulley.config.Configuration;
 import bitternpulley.net.Connection;
 import bitternpulley.net.EventLoop;
@@ -17,7 +16,6 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -54,7 +52,8 @@
     this.mostLinks = mostLinks;
   }
 
-  void answersTo(Consumer<Effect.Reply> answers) {
+  /** Says who delivers final answers. */
+  public void answersTo(Consumer<Effect.Reply> answers) {
     this.answers = answers;
   }
 
@@ -74,7 +73,7 @@
   @Override
   public void start(Effect.Start attempt) {
     HostPort at = addresses.get(attempt.server());
-    String part = partId(attempt);
+    String part = Frames.partId(attempt);
     Link link = at == null ? null : link(attempt.server(), at, part);
     if (link == null) {
       loop.execute(() -> broker.submit(new Event.Ended(attempt.id(), Outcome.UNREACHABLE, null)));
@@ -84,11 +83,6 @@
     link.call(attempt, part);
   }
 
-  private static String partId(Effect.Start attempt) {
-    PlatformQuery query = (PlatformQuery) attempt.request().payload();
-    return query.id() + "." + query.slices().get(attempt.slice()).shard();
-  }
-
   /** A connection with room, else a fresh one; null where no more may be opened. */
   private Link link(String server, HostPort at, String part) {
     List<Link> all = links.computeIfAbsent(server, s -> new ArrayList<>());
@@ -168,14 +162,7 @@
 
     void call(Effect.Start attempt, String id) {
       uses++;
-      PlatformQuery query = (PlatformQuery) attempt.request().payload();
-      Request.Slice slice = query.slices().get(attempt.slice());
-      byte[] text = query.filter().getBytes(StandardCharsets.UTF_8);
-      String line = id + " " + slice.shard() + " d=" + Math.max(1, Math.round(attempt.timeout()))
-          + (query.token() == null ? "" : ",k=" + query.token()) + " " + text.length + "\n";
-      byte[] head = line.getBytes(StandardCharsets.US_ASCII);
-      byte[] rest = ByteBuffer.allocate(head.length + text.length).put(head).put(text).array();
-      Call call = new Call(id, FrameCodec.encode('1', rest));
+      Call call = new Call(id, Frames.call(attempt, id));
       calls.put(attempt.id(), call);
       byId.put(id, attempt.id());
       if (up) {
@@ -205,7 +192,7 @@
           close();
         }
       });
-      connection.write(FrameCodec.encode('2', call.id.getBytes(StandardCharsets.US_ASCII)), () -> {
+      connection.write(Frames.giveUp(call.id), () -> {
         // The end counts only now: the next attempt must not reach a server ahead of this word.
         if (calls.containsKey(attempt)) {
           remove(attempt);
@@ -258,27 +245,13 @@
     }
 
     private void ended(byte[] rest) {
-      int line = 0;
-      while (line < rest.length && rest[line] != '\n') {
-        line++;
-      }
-      String[] words = new String(rest, 0, line, StandardCharsets.US_ASCII).split(" ");
-      if (line == rest.length || words.length < 2) {
-        throw new IllegalArgumentException("an answer without a head");
-      }
-      AttemptId attempt = byId.get(words[0]);
+      Frames.Answer answer = Frames.answer(rest);
+      AttemptId attempt = byId.get(answer.id());
       if (attempt == null) {
         return; // given up before; the answer crossed our word
       }
-      Outcome outcome = switch (words[1]) {
-        case "S" -> Outcome.OK;
-        case "E" -> Outcome.ERROR;
-        case "B" -> Outcome.FULL;
-        default -> throw new IllegalArgumentException("an answer that ends '" + words[1] + "'");
-      };
       remove(attempt);
-      byte[] value = Arrays.copyOfRange(rest, line + 1, rest.length);
-      broker.submit(new Event.Ended(attempt, outcome, outcome == Outcome.OK ? new PartValue(value) : null));
+      broker.submit(new Event.Ended(attempt, answer.outcome(), answer.value()));
     }
 
     @Override
