Bad clients and bad slot servers: bound what each may take, fail only what is spoilt

Each of some 3 spoilt answers a second closed its connection (Link.received caught IllegalArgumentException), and all parts out there ended as RESET, for which Policy.learn holds the server down for a second; with half the servers held down the others filled up (1014 parts turned away in 5 s). On the client side requests had 10 s to end, silent connections had no end, a third of the descriptors could be used, and a second 'Request-Id' replaced the first in Link.byId. Done, servers: what is read at once is judged as a whole; the spoilt attempt ends as an error where it can be told, the others out there as taken back, which blames no server; an answer that came whole stands; an unreadable report spoils nothing; a frame that does not end in 300 ms is given up; parts share a connection by four.

--- a/src/main/java/bitternpulley/Aggregator.java
+++ b/src/main/java/bitternpulley/Aggregator.java
@@ -24,21 +24,24 @@
 import java.io.IOException;
 import java.lang.System.Logger.Level;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
+import java.util.stream.Collectors;
 
 /** One real aggregator: puts the parts together, and takes them out of service on SIGTERM. */
 final class Aggregator {
   private static final System.Logger LOG = System.getLogger(Aggregator.class.getName());
   private static final int MOST_BODY = 64 * 1024;
   /** Descriptors kept for the JVM's own files, discovery and the listeners. */
-  private static final int RESERVE = 64;
+  private static final int RESERVE = 40;
   /** Ms after SIGTERM for which connections are still taken: clients go on coming until the front has noticed. */
   private static final double GRACE = 500;
   private static final double DRAIN_CHECK = 20;
   /** Exit status of a configuration that cannot be used. */
   private static final int BAD_CONFIGURATION = 2;
 
-  private final EventLoop loop = new EventLoop();
+  private final Clock clock = Clock.system();
+  private final EventLoop loop = new EventLoop(clock::now);
   private final CountDownLatch drained = new CountDownLatch(1);
   private final Configuration config;
   private final Broker broker;
@@ -55,27 +58,28 @@
 
   private Aggregator(Configuration config, Optional<SearchConfiguration> searchConfig) {
     this.config = config;
-    Clock clock = Clock.system();
     broker = new Broker(new Reducer(config.settings(), config.seed(), clock.now()), clock, loop::after);
-    // Each listener and each way to the slot servers gets an equal share of the descriptors.
-    int share = (config.sockets() - RESERVE) / (searchConfig.isPresent() ? 4 : 2);
+    // A third of the descriptors is for the ways to the slot servers; a second front has half of all.
+    int spare = (config.sockets() - RESERVE) / (searchConfig.isPresent() ? 2 : 1);
+    int links = spare / 3;
+    int clients = spare - links;
     double connectTimeout = config.settings().limits().connectTimeout();
-    servers = new SlotServers(loop, broker, config.wire(), connectTimeout, share);
+    servers = new SlotServers(loop, broker, clock, config.wire(), connectTimeout, links);
     broker.add(servers);
     QueryFront queries =
         new QueryFront(config.settings(), broker, servers, () -> anyServer && rehearsed && !draining);
     servers.answersTo(queries::reply);
-    front = new HttpServer(loop, MOST_BODY, share, HttpServer.REQUEST_TIME, queries);
-    search = searchConfig.map(c -> searchSide(c, clock, connectTimeout, share));
+    front = new HttpServer(loop, MOST_BODY, clients, HttpServer.Times.USUAL, queries);
+    search = searchConfig.map(c -> searchSide(c, connectTimeout, links, clients));
     discovery = new Discovery(loop, config.discovery(), config.zones(), config.known().revision(),
         list -> told(list, list.complete() ? Router.ListKind.COMPLETE : Router.ListKind.CHANGES));
   }
 
-  private SearchSide searchSide(SearchConfiguration c, Clock clock, double connectTimeout, int share) {
-    HttpClient client = new HttpClient(loop, c.maxPartBytes(), share, connectTimeout, config.wire().idleAfter());
+  private SearchSide searchSide(SearchConfiguration c, double connectTimeout, int links, int clients) {
+    HttpClient client = new HttpClient(loop, c.maxPartBytes(), links, connectTimeout, config.wire().idleAfter());
     SearchServers to = new SearchServers(loop, broker, client, c.serverPort());
     broker.add(to);
-    HttpServer server = new HttpServer(loop, MOST_BODY, share, HttpServer.REQUEST_TIME,
+    HttpServer server = new HttpServer(loop, MOST_BODY, clients, HttpServer.Times.USUAL,
         new SearchFront(config.settings(), c, broker, to, clock, config.name()));
     return new SearchSide(to, server, c.listen());
   }
@@ -136,7 +140,18 @@
           servers.address(e.member().server(), e.address());
           search.ifPresent(s -> s.servers().address(e.member().server(), e.address()));
         });
+    list.entries().stream().filter(e -> e.member().state() == Router.ServerState.GONE)
+        .forEach(e -> {
+          servers.forget(e.member().server());
+          search.ifPresent(s -> s.servers().forget(e.member().server()));
+        });
     anyServer |= list.entries().stream().anyMatch(e -> e.member().state() == Router.ServerState.LIVE);
+    if (kind == Router.ListKind.COMPLETE) {
+      // What a whole list does not name is gone as well.
+      Set<String> named = list.entries().stream().map(e -> e.member().server()).collect(Collectors.toSet());
+      servers.keepOnly(named);
+      search.ifPresent(s -> s.servers().keepOnly(named));
+    }
     broker.submit(new Event.Told(kind, list.entries().stream().map(ServerList.Entry::member).toList()));
   }
 
--- a/src/main/java/bitternpulley/net/Connection.java
+++ b/src/main/java/bitternpulley/net/Connection.java
@@ -19,8 +19,13 @@
   /** Bytes that may wait to be written; a peer that reads so slowly is cut off. */
   private static final int MOST_WAITING = 1 << 20;
 
-  /** Ms that a peer gets to end its side after we have ended ours. */
-  private static final double LINGER = 1000;
+  /** Ms that a peer gets to end its side after we have ended ours, and the bytes read meanwhile at most. */
+  private static final double LINGER = 2000;
+  private static final long MOST_DROPPED = 96L << 20;
+  /** Ms that a write may wait for its peer to read. */
+  private static final double WRITE_TIME = 3000;
+  /** What comes in to be dropped goes here, from all connections: nobody looks at it. */
+  private static final ByteBuffer DROPPED = ByteBuffer.allocateDirect(64 * 1024);
 
   /** What the owner of a connection is told. */
   public interface Owner {
@@ -42,7 +47,11 @@
   private boolean closing;
   private boolean lingering;
   private boolean closed;
+  private boolean reading;
+  private boolean paused;
   private int waiting;
+  private long written;
+  private long dropped;
 
   Connection(EventLoop loop, AsynchronousSocketChannel channel) {
     this.loop = loop;
@@ -107,23 +116,34 @@
   }
 
   private void read() {
-    if (closed) {
+    if (closed || reading || paused && !lingering) {
       return;
     }
+    reading = true;
+    boolean drops = lingering;
     in.clear();
-    channel.read(in, null, handler(this, (Integer count) -> {
-      if (count < 0) {
+    channel.read(drops ? DROPPED.duplicate() : in, null, handler(this, (Integer count) -> {
+      if (count < 0 || lingering && (dropped += count) > MOST_DROPPED) {
         close();
-      } else if (!closed) {
-        in.flip();
-        if (!lingering) {
-          owner.received(in);
-        }
-        read();
+      } else if (!closed && !drops && !lingering) {
+        owner.received(in.flip());
       }
+      // Only now: whoever resumes while the bytes are lent must not have them overwritten.
+      reading = false;
+      read();
     }));
   }
 
+  /** Reads no more until {@link #resume}: what the peer sends ahead waits on its side, not in memory here. */
+  public void pause() {
+    paused = true;
+  }
+
+  public void resume() {
+    paused = false;
+    read();
+  }
+
   /** Writes bytes after what waits; {@code written} runs once the last of them has gone to the machine. */
   public void write(ByteBuffer bytes, Runnable written) {
     if (closed || closing) {
@@ -153,6 +173,7 @@
     writing = true;
     channel.write(next.bytes, null, handler(this, (Integer count) -> {
       writing = false;
+      written++;
       waiting -= count;
       if (!next.bytes.hasRemaining()) {
         writes.poll();
@@ -160,6 +181,18 @@
       }
       flush();
     }));
+    if (writing) {
+      awaitReader(written);
+    }
+  }
+
+  /** Guards against a peer that stops reading, whose connection would be held for good. */
+  private void awaitReader(long before) {
+    loop.after(WRITE_TIME, () -> {
+      if (writing && written == before) {
+        close();
+      }
+    });
   }
 
   /** Ends the connection once all that waits is written. */
@@ -177,6 +210,7 @@
     try {
       channel.shutdownOutput();
       loop.after(LINGER, this::close);
+      read();
     } catch (IOException e) {
       close();
     }
--- a/src/main/java/bitternpulley/net/EventLoop.java
+++ b/src/main/java/bitternpulley/net/EventLoop.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.DoubleSupplier;
 
 /**
  * Runs all completions and alarms one at a time. Completions run on the thread that waits for the sockets, which
@@ -21,12 +22,20 @@
   /** Alarms ring at multiples of so many ns: those that are due about together cost one waking of their thread. */
   private static final long GRID = 2_000_000;
 
+  private final DoubleSupplier clock;
   private final ReentrantLock turn = new ReentrantLock();
   private final ArrayDeque<Runnable> next = new ArrayDeque<>();
   private final ScheduledThreadPoolExecutor alarms = new ScheduledThreadPoolExecutor(1, r -> new Thread(r, "alarms"));
   private final AsynchronousChannelGroup group;
 
+  /** A loop by the JVM's own time. */
   public EventLoop() {
+    this(() -> System.nanoTime() / 1e6);
+  }
+
+  /** A loop for which the clock tells the age of connections. */
+  public EventLoop(DoubleSupplier clock) {
+    this.clock = clock;
     alarms.setRemoveOnCancelPolicy(true);
     try {
       group = AsynchronousChannelGroup.withFixedThreadPool(1, r -> new Thread(r, "loop"));
@@ -39,6 +48,11 @@
     return group;
   }
 
+  /** The time in ms, by which the ages of connections are told. */
+  double now() {
+    return clock.getAsDouble();
+  }
+
   /** Runs a task in a turn of its own, now or, within another turn, at the end of that. */
   public void execute(Runnable task) {
     if (turn.isHeldByCurrentThread()) {
--- a/src/main/java/bitternpulley/net/FrameCodec.java
+++ b/src/main/java/bitternpulley/net/FrameCodec.java
@@ -7,7 +7,7 @@
 /** Frames of a length (four bytes, least significant first, which covers letter and rest), a letter and the rest. */
 public final class FrameCodec {
   /** Bytes of a frame beyond which it is taken for garbage. */
-  public static final int MOST = 128 * 1024;
+  public static final int MOST = 64 * 1024;
 
   /** One frame. */
   public record Frame(char letter, byte[] rest) {}
@@ -21,6 +21,11 @@
         .putInt(1 + rest.length).put((byte) letter).put(rest).flip();
   }
 
+  /** True between frames. */
+  public boolean idle() {
+    return body == null && head.position() == 0;
+  }
+
   /** Reads bytes that come in any pieces; throws IllegalArgumentException on a length that no frame has. */
   public void read(ByteBuffer in, Consumer<Frame> frames) {
     while (in.hasRemaining()) {
--- a/src/main/java/bitternpulley/net/HttpParser.java
+++ b/src/main/java/bitternpulley/net/HttpParser.java
@@ -171,6 +171,7 @@
     require(colon > 0 && text.substring(0, colon).matches("[!#$%&'*+.^_`|~0-9A-Za-z-]+"), "not a header");
     String name = text.substring(0, colon).toLowerCase(Locale.ROOT);
     String value = text.substring(colon + 1).strip();
+    require(value.chars().allMatch(c -> c == '\t' || c >= ' ' && c != 0x7f), "not a header's value");
     String before = headers.putIfAbsent(name, value);
     // Guards against a body whose two ends disagree: a second length may not differ from the first.
     require(before == null || before.equals(value) || !name.equals("content-length"), "two lengths");
--- a/src/main/java/bitternpulley/net/HttpServer.java
+++ b/src/main/java/bitternpulley/net/HttpServer.java
@@ -15,13 +15,21 @@
 public final class HttpServer {
   private static final System.Logger LOG = System.getLogger(HttpServer.class.getName());
   private static final int BACKLOG = 512;
-  /** Bytes that a client may send ahead of the answer to its last request. */
-  private static final int MOST_AHEAD = 16 * 1024;
-  /** Ms that a client usually gets to send a request, once it has begun. */
-  public static final double REQUEST_TIME = 10_000;
+  /** Bytes kept of bodies that are not yet whole, from all connections together. */
+  private static final long MOST_HELD = 4 << 20;
+  /** Ms between looks at what all connections do. */
+  private static final double SWEEP = 100;
+  /** Ms for which a connection that says nothing, or not all, is spared when room is needed. */
+  private static final double SPARED = 300;
   /** Ms until accepting is tried again after it failed, as it does when descriptors run out. */
   private static final double ACCEPT_PAUSE = 50;
 
+  /** Ms that a client has to begin its first request, to send a whole one, and to begin the next. */
+  public record Times(double first, double whole, double next) {
+    /** Both ends of a bad connection come within 3 s; a good one is opened again at little cost. */
+    public static final Times USUAL = new Times(2000, 2200, 5000);
+  }
+
   /** A whole request. */
   public record Request(HttpHead head, byte[] body) {}
 
@@ -49,18 +57,19 @@
   private final Handler handler;
   private final int mostBody;
   private final int mostConnections;
-  private final double requestTime;
+  private final Times times;
   private final Set<Session> sessions = new LinkedHashSet<>();
   private AsynchronousServerSocketChannel listener;
   private boolean accepting;
   private boolean draining;
+  private long held;
 
-  /** A server that holds so many connections, each of which may take {@code requestTime} ms over a request. */
-  public HttpServer(EventLoop loop, int mostBody, int mostConnections, double requestTime, Handler handler) {
+  /** A server that holds so many connections, which have so much time. */
+  public HttpServer(EventLoop loop, int mostBody, int mostConnections, Times times, Handler handler) {
     this.loop = loop;
     this.mostBody = mostBody;
     this.mostConnections = mostConnections;
-    this.requestTime = requestTime;
+    this.times = times;
     this.handler = handler;
   }
 
@@ -68,6 +77,7 @@
   public HostPort listen(HostPort at) throws IOException {
     listener = AsynchronousServerSocketChannel.open(loop.group()).bind(at.address(), BACKLOG);
     accept();
+    loop.after(SWEEP, this::sweep);
     return new HostPort(at.host(), ((java.net.InetSocketAddress) listener.getLocalAddress()).getPort());
   }
 
@@ -101,18 +111,36 @@
     });
   }
 
-  /** Guards against running out of descriptors: the longest idle connection makes room, else accepting waits. */
+  /** Ends what takes too long; one look for all, in place of an alarm for each. */
+  private void sweep() {
+    for (Session s : Set.copyOf(sessions)) {
+      s.check();
+    }
+    accept();
+    if (listener.isOpen() || !sessions.isEmpty()) {
+      loop.after(SWEEP, this::sweep);
+    }
+  }
+
+  /**
+   * Guards against running out of descriptors, and against silent clients that keep out the rest: when no more may be
+   * open, one that never said anything makes room, else the one longest idle, else one that does not end its request.
+   */
   private boolean room() {
     if (sessions.size() < mostConnections) {
       return true;
     }
+    Session least = null;
     for (Session s : sessions) {
-      if (s.idle()) {
-        s.connection.close();
-        return true;
+      if (s.claim() < Session.BUSY && (least == null || s.claim() < least.claim()
+          || s.claim() == least.claim() && s.since < least.since)) {
+        least = s;
       }
     }
-    return false;
+    if (least != null) {
+      least.connection.close();
+    }
+    return least != null;
   }
 
   /** From now on each answer ends its connection. */
@@ -140,68 +168,91 @@
   }
 
   private final class Session implements Connection.Owner {
+    /** How strong a claim to its place a session has; none makes room that is busy. */
+    private static final int SILENT = 0;
+    private static final int IDLE = 1;
+    private static final int PARTIAL = 2;
+    private static final int BUSY = 3;
+
     private final Connection connection;
-    private final HttpParser parser = new HttpParser(false, mostBody, new WholeMessages(this::begun, this::whole));
+    private final WholeMessages messages = new WholeMessages(this::begun, this::whole);
+    private final HttpParser parser = new HttpParser(false, mostBody, messages);
     private ByteBuffer ahead = ByteBuffer.allocate(0);
     private Call call;
     private boolean broken;
     private int count;
+    private int mine;
+    /** When it was opened, its request begun or its last answer written. */
+    private double since = loop.now();
 
     Session(AsynchronousSocketChannel channel) {
       connection = new Connection(loop, channel);
     }
 
     boolean idle() {
-      return call == null && parser.idle();
+      return call == null && parser.idle() && !broken;
+    }
+
+    int claim() {
+      boolean spared = loop.now() - since < SPARED;
+      if (idle()) {
+        return count > 0 ? IDLE : spared ? BUSY : SILENT;
+      }
+      return call != null || broken || spared ? BUSY : PARTIAL;
+    }
+
+    /** Guards against connections that are opened and left, and requests that are begun and never end. */
+    void check() {
+      double age = loop.now() - since;
+      if (idle() && age > (count == 0 ? times.first() : times.next())) {
+        connection.close();
+      } else if (call == null && !broken && !parser.idle() && age > times.whole()) {
+        refuse(408, "the request did not end in time");
+      }
+    }
+
+    private void refuse(int status, String reason) {
+      broken = true;
+      release();
+      send(handler.unusable(status, reason), false);
+    }
+
+    private void release() {
+      held -= mine;
+      mine = 0;
     }
 
     @Override
     public void received(ByteBuffer bytes) {
-      if (broken) {
-        return;
-      }
       // Guards against a request that waits for good behind one answered at once: what is ahead is only kept
       // while a call is under way, whose end takes it up.
       while (call == null && bytes.hasRemaining() && !broken) {
         parse(bytes);
       }
       if (bytes.hasRemaining() && !broken) {
-        keep(bytes);
+        // No more is read until then, so no client can pile up requests here.
+        ahead = ByteBuffer.allocate(bytes.remaining()).put(bytes).flip();
+        connection.pause();
       }
     }
 
     private void parse(ByteBuffer bytes) {
-      boolean begins = parser.idle();
+      if (parser.idle()) {
+        since = loop.now();
+      }
       try {
-        if (!parser.read(bytes) && begins && !parser.idle()) {
-          awaitRest(count);
+        parser.read(bytes);
+        held += messages.held() - mine;
+        mine = messages.held();
+        if (held > MOST_HELD && mine > 0) {
+          // Guards against memory used up by many large bodies at once, none of them too large by itself.
+          throw new HttpException(503, "too much is being sent at once");
         }
       } catch (HttpException e) {
-        broken = true;
-        send(handler.unusable(e.status(), e.getMessage()), false);
+        refuse(e.status(), e.getMessage());
       }
     }
 
-    /** Guards against requests that are begun and never end, each of which would hold a descriptor for good. */
-    private void awaitRest(int before) {
-      loop.after(requestTime, () -> {
-        if (count == before && !broken) {
-          broken = true;
-          send(handler.unusable(408, "the request did not end in time"), false);
-        }
-      });
-    }
-
-    /** What a client sends ahead waits here, up to a bound. */
-    private void keep(ByteBuffer bytes) {
-      if (ahead.remaining() + bytes.remaining() > MOST_AHEAD) {
-        connection.close();
-        return;
-      }
-      ByteBuffer joined = ByteBuffer.allocate(ahead.remaining() + bytes.remaining());
-      ahead = joined.put(ahead).put(bytes).flip();
-    }
-
     private void begun(HttpHead head) {
       if ("100-continue".equalsIgnoreCase(head.header("expect"))) {
         connection.write(ascii("HTTP/1.1 100 Continue\r\n\r\n"), () -> { });
@@ -233,10 +284,14 @@
       ByteBuffer all = ByteBuffer.allocate(first.remaining() + r.body().length).put(first).put(r.body()).flip();
       connection.write(all, () -> {
         call = null;
+        since = loop.now();
         if (ahead.hasRemaining() && stays) {
           ByteBuffer next = ahead;
           ahead = ByteBuffer.allocate(0);
           received(next);
+          if (call == null) {
+            connection.resume();
+          }
         }
         accept();
       });
@@ -249,6 +304,7 @@
     @Override
     public void closed() {
       sessions.remove(this);
+      release();
       if (call != null && !call.replied && call.gone != null) {
         call.gone.run();
       }
@@ -292,6 +348,7 @@
       case 404 -> "Not Found";
       case 405 -> "Method Not Allowed";
       case 408 -> "Request Timeout";
+      case 409 -> "Conflict";
       case 413 -> "Content Too Large";
       case 429 -> "Too Many Requests";
       case 431 -> "Request Header Fields Too Large";
--- a/src/main/java/bitternpulley/net/WholeMessages.java
+++ b/src/main/java/bitternpulley/net/WholeMessages.java
@@ -7,7 +7,7 @@
 
 /** Puts the pieces of each message together; the parser's bound on bodies bounds what is kept. */
 final class WholeMessages implements HttpParser.Sink {
-  private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+  private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
   private final Consumer<HttpHead> begun;
   private final BiConsumer<HttpHead, byte[]> whole;
   private HttpHead head;
@@ -33,7 +33,12 @@
   @Override
   public void end() {
     byte[] bytes = body.toByteArray();
-    body.reset();
+    body = new ByteArrayOutputStream(0);
     whole.accept(head, bytes);
   }
+
+  /** Bytes kept of a body that is not yet whole. */
+  int held() {
+    return body.size();
+  }
 }
--- a/src/main/java/bitternpulley/opensearch/SearchServers.java
+++ b/src/main/java/bitternpulley/opensearch/SearchServers.java
@@ -18,7 +18,9 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** The way to slot servers that speak the search API: one request for each attempt of a part. */
 public final class SearchServers implements Dialect {
@@ -43,6 +45,17 @@
     addresses.put(server, new HostPort(at.host(), port));
   }
 
+  /** Drops what is kept for a server that is gone. */
+  public void forget(String server) {
+    closeIdle(server);
+    addresses.remove(server);
+  }
+
+  /** Forgets all others. */
+  public void keepOnly(Set<String> named) {
+    List.copyOf(addresses.keySet()).stream().filter(s -> !named.contains(s)).forEach(this::forget);
+  }
+
   @Override
   public void start(Effect.Start attempt) {
     HostPort at = addresses.get(attempt.server());
--- a/src/main/java/bitternpulley/platform/Frames.java
+++ b/src/main/java/bitternpulley/platform/Frames.java
@@ -7,9 +7,13 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.regex.Pattern;
 
 /** What stands in the frames to and from slot servers: each encoded and decoded here, once. */
 final class Frames {
+  /** The protocol's form of a value. */
+  private static final Pattern WHOLE = Pattern.compile("[0-9a-f]{16}");
+
   private Frames() {}
 
   /** One answer: the part's id, how the attempt ended, and the value where it was served. */
@@ -36,14 +40,17 @@
     return FrameCodec.encode('2', id.getBytes(StandardCharsets.US_ASCII));
   }
 
-  /** Reads an answer; throws IllegalArgumentException where it is spoilt. */
+  /**
+   * Reads an answer; throws IllegalArgumentException where it is spoilt. Its score and report tell the module nothing
+   * here, so one that cannot be read spoils nothing.
+   */
   static Answer answer(byte[] rest) {
     int line = 0;
     while (line < rest.length && rest[line] != '\n') {
       line++;
     }
-    String[] words = new String(rest, 0, line, StandardCharsets.US_ASCII).split(" ");
-    if (line == rest.length || words.length < 2) {
+    String[] words = new String(rest, 0, line, StandardCharsets.ISO_8859_1).split(" ", -1);
+    if (line == rest.length || words.length < 3 || words[0].isEmpty()) {
       throw new IllegalArgumentException("an answer without a head");
     }
     Outcome outcome = switch (words[1]) {
@@ -52,7 +59,24 @@
       case "B" -> Outcome.FULL;
       default -> throw new IllegalArgumentException("an answer that ends '" + words[1] + "'");
     };
-    byte[] value = Arrays.copyOfRange(rest, line + 1, rest.length);
-    return new Answer(words[0], outcome, outcome == Outcome.OK ? new PartValue(value) : null);
+    return new Answer(words[0], outcome, outcome == Outcome.OK ? value(rest, line + 1) : null);
+  }
+
+  /** Guards against bytes of another frame, or noise, passed on as a value: that is one line of plain text. */
+  private static PartValue value(byte[] rest, int from) {
+    for (int i = from; i < rest.length; i++) {
+      if (rest[i] < ' ' || rest[i] == 0x7f) {
+        throw new IllegalArgumentException("an answer whose value is not plain text");
+      }
+    }
+    if (from == rest.length) {
+      throw new IllegalArgumentException("an answer without a value");
+    }
+    return new PartValue(Arrays.copyOfRange(rest, from, rest.length));
+  }
+
+  /** Whether a value stands though what follows it cannot be read: it is not itself cut short. */
+  static boolean stands(PartValue value) {
+    return WHOLE.matcher(value.text()).matches();
   }
 }
--- a/src/main/java/bitternpulley/platform/PlatformQuery.java
+++ b/src/main/java/bitternpulley/platform/PlatformQuery.java
@@ -5,8 +5,11 @@
 import bitternpulley.broker.Request;
 import bitternpulley.net.HttpException;
 import bitternpulley.net.HttpServer;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -19,9 +22,14 @@
     String id, int requestClass, double timeLeft, boolean retry, String token, String filter,
     List<Request.Slice> slices, HttpServer.Exchange exchange) implements Payload {
 
-  private static final ObjectMapper MAPPER = new ObjectMapper();
-  /** Ids and tokens stand in the head line of a frame, where a space, a comma or a line end would cut them off. */
-  private static final Pattern WORD = Pattern.compile("[!-+\\--~]{1,128}");
+  /** Guards against bodies that two readers would read differently: a key that comes twice, more behind the object. */
+  private static final ObjectMapper MAPPER = JsonMapper.builder()
+      .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION).enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build();
+  /** Ids and tokens stand in the head line of a frame, which a server that cannot read it answers by a close. */
+  private static final Pattern WORD = Pattern.compile("[0-9A-Za-z_-]{1,64}");
+  private static final Pattern SECONDS = Pattern.compile("[0-9]{1,6}(\\.[0-9]{1,9})?");
+  /** What the weights of a query may differ from 1 by, for rounding. */
+  private static final double ROUNDING = 0.001;
 
   /** Reads a request; throws HttpException with the status its sender is due. */
   static PlatformQuery read(HttpServer.Request in, Settings settings, HttpServer.Exchange exchange) {
@@ -60,8 +68,11 @@
     if (seconds == null) {
       return kind.deadline();
     }
-    require(seconds.matches("[0-9]{1,6}(\\.[0-9]{1,9})?"), "Request-Timeout is not a number of seconds");
-    return 1000 * Double.parseDouble(seconds);
+    require(SECONDS.matcher(seconds).matches(), "Request-Timeout is not a number of seconds");
+    double ms = 1000 * Double.parseDouble(seconds);
+    require(ms > 0, "Request-Timeout leaves no time");
+    // Guards against a query that is held for as long as its client likes: no class's clients wait beyond its deadline.
+    return Math.min(ms, kind.deadline());
   }
 
   private static JsonNode body(byte[] bytes) {
@@ -78,14 +89,19 @@
     require(in.isArray() && !in.isEmpty(), "'slices' is not a list of parts");
     List<Request.Slice> slices = new ArrayList<>();
     Set<Integer> seen = new HashSet<>();
+    double sum = 0;
     for (JsonNode s : in) {
       JsonNode shard = s.path("slice");
       JsonNode mass = s.path("mass");
       require(shard.isInt() && shard.intValue() >= 0 && shard.intValue() < shards, "'slice' is no shard");
       require(seen.add(shard.intValue()), "a 'slice' comes twice");
-      require(mass.isNumber() && mass.doubleValue() >= 0 && mass.doubleValue() <= 1, "'mass' is not a weight");
-      slices.add(new Request.Slice(shard.intValue(), mass.doubleValue(), s.path("micros").asDouble(0) / 1000));
+      JsonNode work = s.path("micros");
+      require(mass.isNumber() && mass.doubleValue() > 0 && mass.doubleValue() <= 1, "'mass' is not a weight");
+      require(work.isMissingNode() || work.isNumber() && work.doubleValue() >= 0, "'micros' is not a time");
+      sum += mass.doubleValue();
+      slices.add(new Request.Slice(shard.intValue(), mass.doubleValue(), work.asDouble(0) / 1000));
     }
+    require(Math.abs(sum - 1) <= ROUNDING, "the weights do not add up to 1");
     return List.copyOf(slices);
   }
 
--- a/src/main/java/bitternpulley/platform/QueryFront.java
+++ b/src/main/java/bitternpulley/platform/QueryFront.java
@@ -16,8 +16,10 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 
 /** The platform's client side: queries in, final answers out, and the probe for readiness. */
@@ -28,6 +30,8 @@
   private final Broker broker;
   private final Dialect servers;
   private final BooleanSupplier ready;
+  /** The ids of the requests without a final answer. */
+  private final Set<String> open = new HashSet<>();
 
   public QueryFront(Settings settings, Broker broker, Dialect servers, BooleanSupplier ready) {
     this.settings = settings;
@@ -46,8 +50,15 @@
     }
     try {
       PlatformQuery query = PlatformQuery.read(request, settings, exchange);
+      if (!open.add(query.id())) {
+        // Guards against two queries whose parts bear the same names: the slot servers would take one for the other.
+        throw new HttpException(409, "Request-Id is that of an open request");
+      }
       long id = broker.nextId();
-      exchange.onGone(() -> broker.submit(new Event.Left(id)));
+      exchange.onGone(() -> {
+        open.remove(query.id());
+        broker.submit(new Event.Left(id));
+      });
       broker.submit(new Event.Taken(new Request(id, servers, query.requestClass(), query.timeLeft(), query.retry(),
           Router.Terms.OF_CLASS, query.slices(), query)));
     } catch (HttpException e) {
@@ -68,6 +79,7 @@
   /** Delivers a final answer. */
   public void reply(Effect.Reply reply) {
     PlatformQuery query = (PlatformQuery) reply.request().payload();
+    open.remove(query.id());
     query.exchange().reply(response(reply));
   }
 
@@ -92,7 +104,7 @@
       for (Map.Entry<Integer, Payload> in : answer.values().entrySet()) {
         out.writeStartObject();
         out.writeNumberField("slice", request.slices().get(in.getKey()).shard());
-        out.writeStringField("body", new String(((PartValue) in.getValue()).bytes(), StandardCharsets.UTF_8));
+        out.writeStringField("body", ((PartValue) in.getValue()).text());
         out.writeEndObject();
       }
       out.writeEndArray();
--- a/src/main/java/bitternpulley/platform/SlotServers.java
+++ b/src/main/java/bitternpulley/platform/SlotServers.java
@@ -3,6 +3,7 @@
 import bitternpulley.policy.Router.Outcome;
 import bitternpulley.broker.AttemptId;
 import bitternpulley.broker.Broker;
+import bitternpulley.broker.Clock;
 import bitternpulley.broker.Dialect;
 import bitternpulley.broker.Effect;
 import bitternpulley.broker.Event;
@@ -16,6 +17,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -28,10 +30,20 @@
 public final class SlotServers implements Dialect {
   private static final System.Logger LOG = System.getLogger(SlotServers.class.getName());
 
-  private static final int MOST_GIVEN_UP = 1000;
+  /** Parts given up, and parts answered, that a connection remembers by name. */
+  private static final int MOST_GIVEN_UP = 256;
+  private static final int MOST_ANSWERED = 32;
+  /** Parts out on a connection beyond which another is opened, and connections to one server at most. */
+  private static final int SHARED_BY = 4;
+  private static final int MOST_TO_ONE = 4;
+  /** Ms that a frame may take to come in whole once it has begun. */
+  private static final double FRAME_TIME = 300;
+  /** Ms between looks for connections that are idle for too long. */
+  private static final double SWEEP = 1000;
 
   private final EventLoop loop;
   private final Broker broker;
+  private final Clock clock;
   private final int streams;
   private final double idleAfter;
   private final double connectTimeout;
@@ -42,14 +54,29 @@
   private Consumer<Effect.Reply> answers;
   private int open;
 
-  public SlotServers(
-      EventLoop loop, Broker broker, Configuration.Wire wire, double connectTimeout, int mostLinks) {
+  public SlotServers(EventLoop loop, Broker broker, Clock clock, Configuration.Wire wire, double connectTimeout,
+      int mostLinks) {
     this.loop = loop;
     this.broker = broker;
+    this.clock = clock;
     this.streams = wire.streams();
     this.idleAfter = wire.idleAfter();
     this.connectTimeout = connectTimeout;
     this.mostLinks = mostLinks;
+    loop.after(SWEEP, this::sweep);
+  }
+
+  /** One look for all connections: guards against an alarm for each time that one of them falls idle. */
+  private void sweep() {
+    double now = clock.now();
+    for (List<Link> all : List.copyOf(links.values())) {
+      for (Link l : List.copyOf(all)) {
+        if (l.calls.isEmpty() && (now - l.idleSince > idleAfter || !addresses.containsKey(l.server))) {
+          l.close();
+        }
+      }
+    }
+    loop.after(SWEEP, this::sweep);
   }
 
   /** Says who delivers final answers. */
@@ -65,6 +92,17 @@
     }
   }
 
+  /** Guards against all that is kept for servers of which a long day sees ever new ones: this one is gone. */
+  public void forget(String server) {
+    addresses.remove(server);
+    closeIdle(server);
+  }
+
+  /** Forgets all others. */
+  public void keepOnly(Set<String> named) {
+    List.copyOf(addresses.keySet()).stream().filter(s -> !named.contains(s)).forEach(this::forget);
+  }
+
   @Override
   public void reply(Effect.Reply reply) {
     answers.accept(reply);
@@ -83,14 +121,22 @@
     link.call(attempt, part);
   }
 
-  /** A connection with room, else a fresh one; null where no more may be opened. */
+  /** The connection with the fewest parts out, a fresh one where those are many; null where there is none. */
   private Link link(String server, HostPort at, String part) {
     List<Link> all = links.computeIfAbsent(server, s -> new ArrayList<>());
+    Link least = null;
     for (Link l : all) {
-      if (l.calls.size() < streams && l.at.equals(at) && !l.connection.isClosed() && !l.givenUp.contains(part)) {
-        return l;
+      if (l.calls.size() < streams && l.at.equals(at) && !l.connection.isClosed() && !l.knows(part)
+          && (least == null || l.calls.size() < least.calls.size())) {
+        least = l;
       }
     }
+    if (least != null && (least.calls.size() < SHARED_BY || all.size() >= MOST_TO_ONE || open >= mostLinks)) {
+      return least;
+    }
+    if (open >= mostLinks) {
+      closeOneIdle();
+    }
     if (open >= mostLinks) {
       LOG.log(Level.WARNING, "no descriptor to spare for another connection to " + server);
       return null;
@@ -106,6 +152,11 @@
     }
   }
 
+  private void closeOneIdle() {
+    links.values().stream().flatMap(List::stream).filter(l -> l.calls.isEmpty())
+        .min(Comparator.comparingDouble(l -> l.idleSince)).ifPresent(Link::close);
+  }
+
   @Override
   public void abandon(Effect.Abandon attempt) {
     Link link = out.get(attempt.id());
@@ -146,9 +197,13 @@
      * so the next goes over another connection. Bounded by forgetting the oldest.
      */
     private final Set<String> givenUp = new LinkedHashSet<>();
+    /** Parts answered of late, by which a second copy of an answer is known for one. */
+    private final Set<String> answered = new LinkedHashSet<>();
     private final Connection connection;
     private boolean up;
-    private int uses;
+    private boolean over;
+    private int frames;
+    private double idleSince;
 
     Link(String server, HostPort at) {
       this.server = server;
@@ -160,8 +215,19 @@
       open++;
     }
 
+    /** Guards against one answer taken for another: a part's name is used once on a connection. */
+    boolean knows(String part) {
+      return givenUp.contains(part) || byId.containsKey(part);
+    }
+
+    private void note(Set<String> names, String part, int most) {
+      names.add(part);
+      if (names.size() > most) {
+        names.remove(names.iterator().next());
+      }
+    }
+
     void call(Effect.Start attempt, String id) {
-      uses++;
       Call call = new Call(id, Frames.call(attempt, id));
       calls.put(attempt.id(), call);
       byId.put(id, attempt.id());
@@ -182,10 +248,7 @@
         broker.submit(new Event.Abandoned(attempt));
         return;
       }
-      givenUp.add(call.id);
-      if (givenUp.size() > MOST_GIVEN_UP) {
-        givenUp.remove(givenUp.iterator().next());
-      }
+      note(givenUp, call.id, MOST_GIVEN_UP);
       // Guards against a machine that takes nothing more: its connection ends, and what is out on it with that.
       loop.after(connectTimeout, () -> {
         if (calls.containsKey(attempt)) {
@@ -201,63 +264,112 @@
       });
     }
 
-    private Call remove(AttemptId attempt) {
+    private void remove(AttemptId attempt) {
       Call call = calls.remove(attempt);
       byId.remove(call.id, attempt);
       out.remove(attempt);
-      if (calls.isEmpty()) {
-        int before = uses;
-        loop.after(idleAfter, () -> {
-          if (uses == before && calls.isEmpty()) {
-            close();
-          }
-        });
-      }
-      return call;
+      idleSince = clock.now();
     }
 
     void close() {
-      links.getOrDefault(server, List.of()).remove(this);
+      leave();
       connection.close();
     }
 
+    /** Nothing new goes over this connection. */
+    private void leave() {
+      List<Link> all = links.getOrDefault(server, List.of());
+      all.remove(this);
+      if (all.isEmpty()) {
+        links.remove(server);
+      }
+    }
+
+    /** What is read is dealt with as a whole: whether an answer stands depends on what is behind it. */
     @Override
     public void received(ByteBuffer bytes) {
+      if (over) {
+        return;
+      }
+      ByteBuffer all = bytes.duplicate();
+      List<Event.Ended> ended = new ArrayList<>();
+      String fault = null;
       try {
-        codec.read(bytes, this::frame);
+        codec.read(bytes, frame -> frame(frame, ended));
       } catch (IllegalArgumentException e) {
-        // Guards against garbage: it ends this connection and nothing else.
-        LOG.log(Level.WARNING, server + " sent what cannot be used: " + e.getMessage());
-        close();
+        fault = e.getMessage();
+      }
+      if (fault == null && calls.isEmpty() && !codec.idle()) {
+        fault = "more than was asked for";
       }
+      if (fault != null) {
+        spoilt(fault, StandardCharsets.ISO_8859_1.decode(all).toString(), ended);
+      } else if (!codec.idle()) {
+        awaitRest(frames);
+      }
+      ended.forEach(broker::submit);
     }
 
-    private void frame(FrameCodec.Frame frame) {
+    private void frame(FrameCodec.Frame frame, List<Event.Ended> ended) {
+      frames++;
       switch (frame.letter()) {
-        case '5' -> ended(frame.rest());
-        case '3', '4' -> { }
-        case 'X' -> {
-          LOG.log(Level.WARNING, server + " refuses a frame: " + new String(frame.rest(), StandardCharsets.UTF_8));
-          close();
+        case '5' -> {
+          Frames.Answer answer = Frames.answer(frame.rest());
+          AttemptId attempt = byId.get(answer.id());
+          if (attempt != null) {
+            remove(attempt);
+            note(answered, answer.id(), MOST_ANSWERED);
+            ended.add(new Event.Ended(attempt, answer.outcome(), answer.value()));
+          } else if (!givenUp.remove(answer.id()) && !answered.contains(answer.id())) {
+            throw new IllegalArgumentException("an answer to what was not asked");
+          }
         }
+        case '3', '4' -> { }
+        case 'X' -> throw new IllegalArgumentException(
+            "a refusal of a frame: " + new String(frame.rest(), StandardCharsets.ISO_8859_1));
         default -> throw new IllegalArgumentException("a frame '" + frame.letter() + "'");
       }
     }
 
-    private void ended(byte[] rest) {
-      Frames.Answer answer = Frames.answer(rest);
-      AttemptId attempt = byId.get(answer.id());
-      if (attempt == null) {
-        return; // given up before; the answer crossed our word
+    /** Guards against an answer that begins and never ends, whatever its length says. */
+    private void awaitRest(int before) {
+      loop.after(FRAME_TIME, () -> {
+        if (!over && frames == before && !codec.idle()) {
+          List<Event.Ended> ended = new ArrayList<>();
+          spoilt("a frame that does not end", "", ended);
+          ended.forEach(broker::submit);
+        }
+      });
+    }
+
+    /**
+     * Ends the connection, which is of no further use. Guards against a spoilt answer that costs more than its own
+     * attempt: that one has failed, where it can be told; the others out here are taken back, which speaks against no
+     * server; and an answer that came whole before, with nothing else asked, stands.
+     */
+    private void spoilt(String fault, String text, List<Event.Ended> ended) {
+      LOG.log(Level.WARNING, server + " sent " + fault);
+      List<AttemptId> left = List.copyOf(calls.keySet());
+      List<AttemptId> named = left.stream().filter(a -> text.contains(calls.get(a).id + " ")).toList();
+      AttemptId culprit = left.size() == 1 ? left.get(0) : named.size() == 1 ? named.get(0) : null;
+      if (left.isEmpty() && !ended.isEmpty()) {
+        Event.Ended last = ended.remove(ended.size() - 1);
+        boolean cut = last.outcome() == Outcome.OK && !Frames.stands((PartValue) last.value());
+        ended.add(cut ? new Event.Ended(last.attempt(), Outcome.ERROR, null) : last);
+      }
+      for (AttemptId a : left) {
+        remove(a);
+        ended.add(new Event.Ended(a, a.equals(culprit) ? Outcome.ERROR : Outcome.CANCELLED, null));
       }
-      remove(attempt);
-      broker.submit(new Event.Ended(attempt, answer.outcome(), answer.value()));
+      over = true;
+      close();
     }
 
     @Override
     public void closed() {
       open--;
-      links.getOrDefault(server, List.of()).remove(this);
+      over = true;
+      leave();
       Map<AttemptId, Call> left = new LinkedHashMap<>(calls);
       left.forEach((attempt, call) -> {
         remove(attempt);
--- a/src/main/java/bitternpulley/policy/Policy.java
+++ b/src/main/java/bitternpulley/policy/Policy.java
@@ -188,6 +188,7 @@
       Set<String> named = entries.stream().map(Member::server).collect(Collectors.toSet());
       fleet.servers().stream().filter(s -> !named.contains(s.id)).forEach(s -> s.state = ServerState.GONE);
     }
+    fleet.prune();
   }
 
   private void note(Member m) {
--- a/src/main/java/bitternpulley/policy/State.java
+++ b/src/main/java/bitternpulley/policy/State.java
@@ -70,6 +70,13 @@
       });
     }
 
+    /** Guards against a list that only grows: servers that are gone and owe nothing are dropped. */
+    void prune() {
+      for (List<Server> cell : cells) {
+        cell.removeIf(s -> s.state == Router.ServerState.GONE && s.out.isEmpty() && byName.remove(s.id) != null);
+      }
+    }
+
     /** The servers that hold a shard, in the order of their cells. */
     List<Server> holders(int shard) {
       List<Server> found = new ArrayList<>();
--- a/src/test/java/bitternpulley/net/HttpServerTest.java
+++ b/src/test/java/bitternpulley/net/HttpServerTest.java
@@ -17,7 +17,7 @@
 
   @BeforeMethod
   public void listen() throws IOException {
-    HttpServer server = new HttpServer(new EventLoop(), 100, 2, 50, this);
+    HttpServer server = new HttpServer(new EventLoop(), 100, 2, new HttpServer.Times(10_000, 50, 10_000), this);
     at = server.listen(new HostPort("127.0.0.1", 0));
   }
 
--- a/src/test/java/bitternpulley/platform/SlotServersTest.java
+++ b/src/test/java/bitternpulley/platform/SlotServersTest.java
@@ -44,7 +44,7 @@
   public void aPartGivenUpOnAConnectionIsSentAnewOverAnother() throws IOException {
     EventLoop loop = new EventLoop();
     Broker broker = new Broker(new Reducer(settings(), 1, 0), Clock.system(), loop::after);
-    SlotServers servers = new SlotServers(loop, broker, new Configuration.Wire(100, 15_000), 5000, 10);
+    SlotServers servers = new SlotServers(loop, broker, Clock.system(), new Configuration.Wire(100, 15_000), 5000, 10);
     List<Request.Slice> slices = List.of(new Request.Slice(0, 0.5, 0), new Request.Slice(1, 0.5, 0));
     Request request = new Request(1, servers, 0, 3000, false, Router.Terms.OF_CLASS, slices,
         new PlatformQuery("q", 0, 3000, false, null, "f", slices, null));
