--- a/src/main/java/bitternpulley/Aggregator.java
+++ b/src/main/java/bitternpulley/Aggregator.java
@@ -64,7 +64,7 @@
     int links = spare / 3;
     int clients = spare - links;
     double connectTimeout = config.settings().limits().connectTimeout();
-    servers = new SlotServers(loop, broker, clock, config.wire(), connectTimeout, links);
+    servers = new SlotServers(loop, broker::submit, clock, config.wire(), connectTimeout, links);
     broker.add(servers);
     QueryFront queries =
         new QueryFront(config.settings(), broker, servers, () -> anyServer && rehearsed && !draining);
--- a/src/main/java/bitternpulley/platform/SlotServers.java
+++ b/src/main/java/bitternpulley/platform/SlotServers.java
@@ -2,7 +2,6 @@
 
 import bitternpulley.policy.Router.Outcome;
 import bitternpulley.broker.AttemptId;
-import bitternpulley.broker.Broker;
 import bitternpulley.broker.Clock;
 import bitternpulley.broker.Dialect;
 import bitternpulley.broker.Effect;
@@ -42,7 +41,7 @@
   private static final double SWEEP = 1000;
 
   private final EventLoop loop;
-  private final Broker broker;
+  private final Consumer<Event> events;
   private final Clock clock;
   private final int streams;
   private final double idleAfter;
@@ -54,10 +53,10 @@
   private Consumer<Effect.Reply> answers;
   private int open;
 
-  public SlotServers(EventLoop loop, Broker broker, Clock clock, Configuration.Wire wire, double connectTimeout,
+  public SlotServers(EventLoop loop, Consumer<Event> events, Clock clock, Configuration.Wire wire, double connectTimeout,
       int mostLinks) {
     this.loop = loop;
-    this.broker = broker;
+    this.events = events;
     this.clock = clock;
     this.streams = wire.streams();
     this.idleAfter = wire.idleAfter();
@@ -114,7 +113,7 @@
     String part = Frames.partId(attempt);
     Link link = at == null ? null : link(attempt.server(), at, part);
     if (link == null) {
-      loop.execute(() -> broker.submit(new Event.Ended(attempt.id(), Outcome.UNREACHABLE, null)));
+      loop.execute(() -> events.accept(new Event.Ended(attempt.id(), Outcome.UNREACHABLE, null)));
       return;
     }
     out.put(attempt.id(), link);
@@ -245,7 +244,7 @@
       if (!up) {
         // Not a byte of it has gone, and none will.
         remove(attempt);
-        broker.submit(new Event.Abandoned(attempt));
+        events.accept(new Event.Abandoned(attempt));
         return;
       }
       note(givenUp, call.id, MOST_GIVEN_UP);
@@ -259,7 +258,7 @@
         // The end counts only now: the next attempt must not reach a server ahead of this word.
         if (calls.containsKey(attempt)) {
           remove(attempt);
-          broker.submit(new Event.Abandoned(attempt));
+          events.accept(new Event.Abandoned(attempt));
         }
       });
     }
@@ -307,7 +306,7 @@
       } else if (!codec.idle()) {
         awaitRest(frames);
       }
-      ended.forEach(broker::submit);
+      ended.forEach(events);
     }
 
     private void frame(FrameCodec.Frame frame, List<Event.Ended> ended) {
@@ -337,7 +336,7 @@
         if (!over && frames == before && !codec.idle()) {
           List<Event.Ended> ended = new ArrayList<>();
           spoilt("a frame that does not end", "", ended);
-          ended.forEach(broker::submit);
+          ended.forEach(events);
         }
       });
     }
@@ -374,7 +373,7 @@
       left.forEach((attempt, call) -> {
         remove(attempt);
         // Whether the last byte had gone decides if the part may have run.
-        broker.submit(new Event.Ended(attempt, call.written ? Outcome.RESET : Outcome.UNREACHABLE, null));
+        events.accept(new Event.Ended(attempt, call.written ? Outcome.RESET : Outcome.UNREACHABLE, null));
       });
     }
   }
--- a/src/test/java/bitternpulley/net/HttpServerTest.java
+++ b/src/test/java/bitternpulley/net/HttpServerTest.java
@@ -63,6 +63,30 @@
     }
   }
 
+  /** Guards against connections that are opened and then left. */
+  @Test
+  public void aConnectionThatSaysNothingIsClosed() throws IOException {
+    HttpServer server = new HttpServer(new EventLoop(), 100, 2, new HttpServer.Times(50, 10_000, 10_000), this);
+    at = server.listen(new HostPort("127.0.0.1", 0));
+    try (Socket silent = connect("")) {
+      assertEquals(silent.getInputStream().read(), -1);
+    }
+  }
+
+  /** Guards against memory used up by bodies of which none is too large by itself. */
+  @Test
+  public void unfinishedBodiesAreBoundedTogether() throws IOException {
+    int most = 2 << 20;
+    HttpServer server = new HttpServer(new EventLoop(), most, 3, new HttpServer.Times(10_000, 10_000, 10_000), this);
+    at = server.listen(new HostPort("127.0.0.1", 0));
+    String part = "POST / HTTP/1.1\r\nContent-Length: " + most + "\r\n\r\n" + "x".repeat(most - 1000);
+    try (Socket first = connect(part); Socket second = connect(part); Socket third = connect(part)) {
+      assertEquals(firstLine(third), "HTTP/1.1 503 Service Unavailable");
+      first.getOutputStream().write(new byte[1000]);
+      assertEquals(firstLine(first), "HTTP/1.1 200 OK", "the others go on");
+    }
+  }
+
   @Test
   public void theLongestIdleConnectionMakesRoom() throws IOException {
     try (Socket first = connect("GET / HTTP/1.1\r\n\r\n")) {
@@ -76,6 +100,19 @@
     }
   }
 
+  /** Guards against a client cut off, and its open request lost, since it sent many requests at once. */
+  @Test
+  public void manyRequestsAtOnceWaitUnread() throws IOException {
+    int count = 2000;
+    try (Socket socket = connect("")) {
+      socket.getOutputStream().write("GET / HTTP/1.1\r\nCookie: obj=1\r\n\r\n".repeat(count).getBytes());
+      for (int i = 0; i < count; i++) {
+        assertEquals(firstLine(socket), "HTTP/1.1 200 OK", "answer " + i);
+        socket.getInputStream().skipNBytes("\nContent-Length: 4\r\n\r\nfine".length());
+      }
+    }
+  }
+
   @Test
   public void pipelinedRequestsAreAnsweredInTurn() throws IOException {
     try (Socket socket = connect("GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\nConnection: close\r\n\r\n")) {
--- a/src/test/java/bitternpulley/platform/SlotServersTest.java
+++ b/src/test/java/bitternpulley/platform/SlotServersTest.java
@@ -3,68 +3,157 @@
 import static org.testng.Assert.assertEquals;
 
 import bitternpulley.broker.AttemptId;
-import bitternpulley.broker.Broker;
 import bitternpulley.broker.Clock;
 import bitternpulley.broker.Effect;
-import bitternpulley.broker.Reducer;
+import bitternpulley.broker.Event;
 import bitternpulley.broker.Request;
 import bitternpulley.config.Configuration;
 import bitternpulley.net.EventLoop;
+import bitternpulley.net.FrameCodec;
 import bitternpulley.net.HostPort;
 import bitternpulley.policy.Router;
-import bitternpulley.policy.Settings;
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.stream.IntStream;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-/** What the module seldom asks for: a part sent to a server that had it before. */
+/** Connections to one slot server, whose side the test plays. */
 public class SlotServersTest {
   private static final int PATIENCE_MS = 30_000;
 
-  private static Settings settings() {
-    Settings.QueryClass kind =
-        new Settings.QueryClass("any", 1, 1000, 0, 3000, 0, Settings.Effect.SAFE, 0, false, 1, 1, 1, 0);
-    return new Settings(0, 1, 0, 5, false, false, List.of(kind), List.of(), 1, false, new Settings.Layout(1, 1, 1, 1),
-        new Settings.Limits(4, 100, true, false, false, true, 500, 250),
-        new Settings.Rules(20, 250, 1, 0, 0, 0, false, 0, 0, 0, 0), new Settings.Prices(0, 0, 0, 0, 0),
-        new Settings.Load(-1, -1, -1, -1, -1, -1));
-  }
-
   private static String frame(Socket from) throws IOException {
     from.setSoTimeout(PATIENCE_MS);
     DataInputStream in = new DataInputStream(from.getInputStream());
     return new String(in.readNBytes(Integer.reverseBytes(in.readInt())));
   }
 
+  private final List<Event> events = new CopyOnWriteArrayList<>();
+  private EventLoop loop;
+  private SlotServers servers;
+  private ServerSocket server;
+  private Request request;
+
+  @BeforeMethod
+  public void listen() throws IOException {
+    events.clear();
+    loop = new EventLoop();
+    servers = new SlotServers(loop, events::add, Clock.system(), new Configuration.Wire(100, 15_000), 5000, 10);
+    List<Request.Slice> slices = IntStream.range(0, 9).mapToObj(i -> new Request.Slice(i, 0.1, 0)).toList();
+    request = new Request(1, servers, 0, 3000, false, Router.Terms.OF_CLASS, slices,
+        new PlatformQuery("q", 0, 3000, false, null, "f", slices, null));
+    server = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"));
+    server.setSoTimeout(PATIENCE_MS);
+    loop.execute(() -> servers.address("s", new HostPort("127.0.0.1", server.getLocalPort())));
+  }
+
+  @AfterMethod
+  public void close() throws IOException {
+    server.close();
+  }
+
+  private void start(int part, int attempt) {
+    loop.execute(() -> servers.start(new Effect.Start(new AttemptId(part, attempt), request, part, "s", 2000)));
+  }
+
+  private static String call(int part) {
+    return "1q." + part + " " + part + " d=2000 1\nf";
+  }
+
+  private static byte[] answer(int part, String value) {
+    return FrameCodec.encode('5', ("q." + part + " S 7 -\n" + value).getBytes()).array();
+  }
+
+  private List<String> outcomes(int count) throws InterruptedException {
+    long end = System.currentTimeMillis() + PATIENCE_MS;
+    while (events.size() < count && System.currentTimeMillis() < end) {
+      Thread.sleep(1);
+    }
+    return events.stream().map(e -> (Event.Ended) e).map(e -> e.attempt().part() + " " + e.outcome()).sorted().toList();
+  }
+
   @Test
   public void aPartGivenUpOnAConnectionIsSentAnewOverAnother() throws IOException {
-    EventLoop loop = new EventLoop();
-    Broker broker = new Broker(new Reducer(settings(), 1, 0), Clock.system(), loop::after);
-    SlotServers servers = new SlotServers(loop, broker, Clock.system(), new Configuration.Wire(100, 15_000), 5000, 10);
-    List<Request.Slice> slices = List.of(new Request.Slice(0, 0.5, 0), new Request.Slice(1, 0.5, 0));
-    Request request = new Request(1, servers, 0, 3000, false, Router.Terms.OF_CLASS, slices,
-        new PlatformQuery("q", 0, 3000, false, null, "f", slices, null));
-    try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
-      server.setSoTimeout(PATIENCE_MS);
-      loop.execute(() -> {
-        servers.address("s", new HostPort("127.0.0.1", server.getLocalPort()));
-        servers.start(new Effect.Start(new AttemptId(1, 0), request, 0, "s", 2000));
-      });
-      try (Socket first = server.accept()) {
-        assertEquals(frame(first), "1q.0 0 d=2000 1\nf");
-        loop.execute(() -> servers.abandon(new Effect.Abandon(new AttemptId(1, 0), request, "s")));
-        assertEquals(frame(first), "2q.0");
-        loop.execute(() -> servers.start(new Effect.Start(new AttemptId(1, 1), request, 0, "s", 2000)));
-        try (Socket second = server.accept()) {
-          assertEquals(frame(second), "1q.0 0 d=2000 1\nf");
-          loop.execute(() -> servers.start(new Effect.Start(new AttemptId(2, 0), request, 1, "s", 2000)));
-          assertEquals(frame(first), "1q.1 1 d=2000 1\nf", "other parts still share the first");
-        }
+    start(0, 0);
+    try (Socket first = server.accept()) {
+      assertEquals(frame(first), call(0));
+      loop.execute(() -> servers.abandon(new Effect.Abandon(new AttemptId(0, 0), request, "s")));
+      assertEquals(frame(first), "2q.0");
+      start(0, 1);
+      try (Socket second = server.accept()) {
+        assertEquals(frame(second), call(0));
+        start(1, 0);
+        assertEquals(frame(first), call(1), "other parts still share the first");
       }
     }
   }
+
+  /** Guards against one spoilt answer that blames a server for all that was out on its connection. */
+  @Test
+  public void aSpoiltAnswerFailsItsOwnPartAndTakesTheOthersBack() throws Exception {
+    start(0, 0);
+    start(1, 0);
+    start(2, 0);
+    try (Socket socket = server.accept()) {
+      for (int i = 0; i < 3; i++) {
+        assertEquals(frame(socket), call(i));
+      }
+      byte[] good = answer(2, "00000000000000aa");
+      byte[] bad = FrameCodec.encode('5', "q.1 ? 7 -\n00000000000000aa".getBytes()).array();
+      socket.getOutputStream().write(ByteBuffer.allocate(good.length + bad.length).put(good).put(bad).array());
+      assertEquals(outcomes(3), List.of("0 CANCELLED", "1 ERROR", "2 OK"));
+      assertEquals(socket.getInputStream().read(), -1, "the connection is of no further use");
+    }
+  }
+
+  /** Guards against a value cut short by its length, whose rest looks like noise behind a good answer. */
+  @Test
+  public void whatFollowsAnAnswerSpoilsOnlyOneCutShort() throws Exception {
+    for (int part = 0; part < 2; part++) {
+      start(part, 0);
+      try (Socket socket = server.accept()) {
+        assertEquals(frame(socket), call(part));
+        byte[] answer = answer(part, part == 0 ? "00000000000000aa" : "000000000");
+        socket.getOutputStream().write(ByteBuffer.allocate(answer.length + 7).put(answer).put("0000bad".getBytes()).array());
+        outcomes(part + 1);
+        assertEquals(socket.getInputStream().read(), -1);
+      }
+    }
+    assertEquals(outcomes(2), List.of("0 OK", "1 ERROR"));
+  }
+
+  @Test
+  public void aSecondCopyOfAnAnswerIsPassedOver() throws Exception {
+    start(0, 0);
+    try (Socket socket = server.accept()) {
+      assertEquals(frame(socket), call(0));
+      socket.getOutputStream().write(answer(0, "00000000000000aa"));
+      assertEquals(outcomes(1), List.of("0 OK"));
+      start(1, 0);
+      assertEquals(frame(socket), call(1), "over the same connection");
+      socket.getOutputStream().write(answer(0, "00000000000000aa"));
+      socket.getOutputStream().write(answer(1, "00000000000000bb"));
+      assertEquals(outcomes(2), List.of("0 OK", "1 OK"));
+    }
+  }
+
+  /** Guards against descriptors and memory kept for servers that are gone. */
+  @Test
+  public void theConnectionsOfAServerThatIsGoneAreClosed() throws Exception {
+    start(0, 0);
+    try (Socket socket = server.accept()) {
+      assertEquals(frame(socket), call(0));
+      loop.execute(() -> servers.forget("s"));
+      socket.getOutputStream().write(answer(0, "00000000000000aa"));
+      assertEquals(outcomes(1), List.of("0 OK"), "what is out is awaited");
+      assertEquals(socket.getInputStream().read(), -1);
+    }
+  }
 }
--- a/src/test/java/bitternpulley/policy/PolicyTest.java
+++ b/src/test/java/bitternpulley/policy/PolicyTest.java
@@ -662,4 +662,24 @@
     r.to(r.now + 300);
     assertTrue(r.cancels.contains("600/0"), "silent after 4 x 1.5 x 100 ms");
   }
+
+  /** Guards against a list of servers that grows all day, as ever new ones replace those before. */
+  @Test
+  void serversThatAreGoneAreForgotten() {
+    State.Fleet fleet = new State.Fleet(new Settings.Layout(4, 4, 2, 1));
+    for (int i = 0; i < 100; i++) {
+      fleet.get(Rig.member("n" + i, i, Router.ServerState.LIVE, 0), 1000).state = Router.ServerState.GONE;
+    }
+    State.Server owing = fleet.get(Rig.member("owing", 0, Router.ServerState.LIVE, 0), 1000);
+    owing.state = Router.ServerState.GONE;
+    owing.out.add(new State.Attempt(null, owing, 0, 0, 0));
+    fleet.prune();
+    assertEquals(List.of(owing), List.copyOf(fleet.servers()));
+    assertEquals(List.of(owing), fleet.holders(0));
+    Rig r = new Rig(Rig.settings(Rig.kind(Settings.Effect.SAFE, 1000, 9000, 0.3, 1, 0), false, FREE, 2)).servers();
+    r.list(Router.ListKind.CHANGES, Rig.member("s0", 0, Router.ServerState.GONE, 0));
+    r.list(Router.ListKind.CHANGES, Rig.member("s0", 0, Router.ServerState.LIVE, 0));
+    r.query(1, 9000, new int[] {0});
+    assertEquals(1, r.sends.size());
+  }
 }
--- a/src/test/java/bitternpulley/process/Deployment.java
+++ b/src/test/java/bitternpulley/process/Deployment.java
@@ -170,8 +170,12 @@
 
   /** Tells a change of one server, split in two in the middle of the line. */
   void tell(StandIn server, String phase) throws IOException {
+    tellOf(++revision, server, phase);
+  }
+
+  void tellOf(int told, StandIn server, String phase) throws IOException {
     await("a watch", () -> !watching.isEmpty());
-    String line = list(false, List.of(server), phase).put("revision", ++revision) + "\n";
+    String line = list(false, List.of(server), phase).put("revision", told) + "\n";
     Socket socket = watching.get(watching.size() - 1);
     for (String piece : List.of(line.substring(0, 20), line.substring(20))) {
       socket.getOutputStream().write((Integer.toHexString(piece.length()) + "\r\n" + piece + "\r\n").getBytes());
--- a/src/test/java/bitternpulley/process/PlatformProcessTest.java
+++ b/src/test/java/bitternpulley/process/PlatformProcessTest.java
@@ -9,7 +9,11 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.Test;
 
@@ -39,7 +43,7 @@
     assertTrue(r.json().path("entire").asBoolean());
     assertEquals(r.json().path("items").size(), 6);
     r.json().path("items").forEach(i ->
-        assertEquals(i.path("body").asText(), "v" + i.path("slice").asInt()));
+        assertEquals(i.path("body").asText(), StandIn.value(i.path("slice").asInt())));
     assertTrue(headOf("q1.3").matches("q1\\.3 3 d=[0-9]+ 8\nc41e77d0"), headOf("q1.3"));
   }
 
@@ -61,6 +65,23 @@
     }
   }
 
+  /** Guards against a spoilt answer that is passed on, waited for, or held against more than its own attempt. */
+  @Test
+  public void aSpoiltAnswerIsAFailedAttemptAndSurplusBehindAGoodOneIsNot() throws IOException {
+    for (Act act : EnumSet.range(Act.GARBAGE, Act.BAD_REPORT)) {
+      for (StandIn s : d.servers) {
+        Set<Integer> once = ConcurrentHashMap.newKeySet();
+        s.act = (index, section) -> section != 2 || !once.add(section) ? Act.SERVE : act;
+      }
+      int before = d.log.all().size();
+      Reply r = d.ask("slot-search", "spoilt-" + act, 2);
+      assertEquals(r.status(), 200, act + ": " + r.body());
+      assertEquals(r.json().path("items").path(0).path("body").asText(), StandIn.value(2), act.name());
+      int tries = d.log.all().size() - before;
+      assertTrue(act.compareTo(Act.TWICE) < 0 ? tries > 1 : tries == 1, act + " took " + tries);
+    }
+  }
+
   @Test
   public void aServerThatIsDownIsPassedBy() throws IOException {
     d.servers.get(2).close();
@@ -127,7 +148,14 @@
         Deployment.query("slot-search", "bad", 4, 0).replace("c41e77d0\"", "c41e77d0x"),
         Deployment.query("slot-search", "b d", 4, 0), Deployment.query("slot-search", "range", 4, 99),
         Deployment.query("slot-search", "twice", 4, 1, 1),
-        Deployment.query("slot-search", "time", 4, 0).replace("Request-Timeout: 4.0", "Request-Timeout: soon"))) {
+        Deployment.query("slot-search", "time", 4, 0).replace("Request-Timeout: 4.0", "Request-Timeout: soon"),
+        Deployment.query("slot-search", "time", 4, 0).replace("Request-Timeout: 4.0", "Request-Timeout: -4"),
+        Deployment.query("slot-search", "none", 0, 0), Deployment.query("slot-search", "", 4, 0),
+        Deployment.query("slot-search", "a,b", 4, 0), Deployment.query("slot-search", "noid", 4, 0).replace("Request-Id", "R"),
+        Deployment.query("slot-search", "sum", 4, 0).replace("1.0", "0.7"),
+        Deployment.query("slot-search", "big", 4, 0).replace("1.0", "1.7"),
+        Deployment.query("slot-search", "neg", 4, 0, 1).replace("0.5", "-.5"),
+        Deployment.query("slot-search", "key", 4, 0).replace("\"filter\":", "\"slices\":"))) {
       assertEquals(Deployment.call(d.listen, bad, "").status(), 400, bad);
     }
     assertEquals(Deployment.call(d.listen, Deployment.query("no-class", "x", 4, 0), "").status(), 404);
@@ -136,6 +164,88 @@
     assertEquals(d.log.all().size(), 1);
   }
 
+  /** Guards against a request hidden in another's body, where two lengths disagree. */
+  @Test
+  public void nothingBehindALengthAndACodingIsPassedOn() throws IOException {
+    String hidden = Deployment.query("slot-search", "hidden", 4, 0);
+    try (Socket client = Deployment.connect(d.listen)) {
+      client.getOutputStream().write(("POST /slot-search HTTP/1.1\r\nRequest-Id: outer\r\nContent-Length: 4\r\n"
+          + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden).getBytes(StandardCharsets.UTF_8));
+      assertEquals(Deployment.reply(client).status(), 400);
+      assertEquals(client.getInputStream().read(), -1);
+    }
+    assertEquals(d.ask("slot-search", "after", 0).status(), 200);
+    assertEquals(d.log.all().size(), 1);
+  }
+
+  /** Guards against two queries whose parts have the same names. */
+  @Test
+  public void theIdOfAnOpenRequestIsRefusedAndTheOpenOneGoesOn() throws IOException {
+    everyServer(Act.SILENT);
+    try (Socket client = Deployment.connect(d.listen)) {
+      client.getOutputStream().write(Deployment.query("slot-search", "same", 4.0, 0).getBytes());
+      Deployment.await("it is sent", () -> d.log.all().size() == 1);
+      everyServer(Act.SERVE);
+      assertEquals(d.ask("slot-search", "same", 0).status(), 409);
+      assertEquals(Deployment.reply(client).status(), 200);
+    }
+    assertEquals(d.ask("slot-search", "same", 0).status(), 200, "free again once it is over");
+  }
+
+  /** Guards against an error that a reset overtakes while its client is still writing. */
+  @Test
+  public void aClientThatWritesFarTooMuchReadsItsError() throws IOException {
+    try (Socket client = Deployment.connect(d.listen)) {
+      int size = 60_000_000;
+      client.getOutputStream().write(("POST /slot-search HTTP/1.1\r\nContent-Length: " + size + "\r\n\r\n").getBytes());
+      for (int sent = 0; sent < size; sent += 1_000_000) {
+        client.getOutputStream().write(new byte[1_000_000]);
+      }
+      assertEquals(Deployment.reply(client).status(), 413);
+    }
+  }
+
+  /** Guards against silent connections that take up all descriptors. */
+  @Test
+  public void silentConnectionsKeepNobodyOut() throws IOException {
+    List<Socket> silent = new ArrayList<>();
+    try {
+      for (int i = 0; i < 1100; i++) {
+        silent.add(Deployment.connect(d.listen));
+      }
+      assertEquals(d.ask("slot-search", "heard", 0).status(), 200);
+      for (Socket s : silent) {
+        assertEquals(s.getInputStream().read(), -1, "closed, long before it says anything");
+      }
+    } finally {
+      for (Socket s : silent) {
+        s.close();
+      }
+    }
+  }
+
+  /** Guards against an agent of discovery that lags behind the one before it. */
+  @Test
+  public void anOlderRevisionTakesNothingBack() throws IOException {
+    StandIn removed = d.servers.get(1);
+    d.tell(removed, "removed");
+    d.tellOf(40, removed, "up");
+    d.tell(d.servers.get(4), "removed"); // once this is heeded, so was what came before
+    d.servers.get(3).act = (index, section) -> Act.ERROR;
+    Deployment.await("the second removal is heeded", () -> {
+      try {
+        return d.ask("slot-search", "o" + System.nanoTime(), 3).status() != 200;
+      } catch (IOException e) {
+        throw new AssertionError(e);
+      }
+    });
+    int before = removed.heads.size();
+    for (int i = 0; i < 10; i++) {
+      assertEquals(d.ask("slot-search", "n" + i, 0, 1).status(), 200);
+    }
+    assertEquals(removed.heads.size(), before);
+  }
+
   @Test
   public void aDrainingServerGetsNothingNewAndTheWatchResumes() throws IOException {
     StandIn draining = d.servers.get(1);
--- a/src/test/java/bitternpulley/process/StandIn.java
+++ b/src/test/java/bitternpulley/process/StandIn.java
@@ -25,8 +25,16 @@
 
 /** A slot server of ours that speaks both dialects; what it does with a part can be set at any time. */
 final class StandIn implements AutoCloseable {
-  /** What becomes of a part; GARBAGE sends what no server may. */
-  enum Act { SERVE, ERROR, FULL, SILENT, RESET, CUT_SHORT, GARBAGE, MALFORMED_QUERY }
+  /** What becomes of a part. From GARBAGE to ENDLESS the answer is spoilt; what follows is good, with more than that. */
+  enum Act {
+    SERVE, ERROR, FULL, SILENT, RESET, CUT_SHORT, MALFORMED_QUERY, GARBAGE, BAD_END, BAD_LETTER, OTHER_ID, HUGE, CUT_OFF,
+    ENDLESS, TWICE, NOISE_BEHIND, BAD_REPORT
+  }
+
+  /** The value that this section's servers give. */
+  static String value(int section) {
+    return String.format("%016x", section + 0xbead);
+  }
 
   final String id;
   final int cell;
@@ -148,14 +156,28 @@
       socket.getOutputStream().write(new byte[] {-1, -1, -1, 127, 9});
       return;
     }
-    String end = what == Act.SERVE ? "S" : what == Act.FULL ? "B" : "E";
-    byte[] answer = ("5" + words[0] + " " + end + " 0 -\n" + (what == Act.SERVE ? "v" + section : "")).getBytes();
-    byte[] whole = ByteBuffer.allocate(4 + answer.length).order(ByteOrder.LITTLE_ENDIAN).putInt(answer.length)
-        .put(answer).array();
+    byte[] whole = answer(what, words[0], section);
     OutputStream to = socket.getOutputStream();
-    to.write(whole, 0, 7); // in two pieces, as a network may
+    int first = what == Act.TWICE || what == Act.NOISE_BEHIND ? whole.length : 7; // else in two pieces, as a network may
+    to.write(whole, 0, first);
     to.flush();
-    to.write(whole, 7, whole.length - 7);
+    to.write(whole, first, whole.length - first);
+    while (what == Act.HUGE) {
+      to.write(new byte[1 << 16]); // until the other side ends it
+    }
+  }
+
+  private static byte[] answer(Act what, String part, int section) {
+    String end = what == Act.FULL ? "B" : what == Act.ERROR ? "E" : what == Act.BAD_END ? "?" : "S";
+    String id = what == Act.OTHER_ID ? "0123456789abcdef.0" : part;
+    String good = "5" + id + " " + end + (what == Act.BAD_REPORT ? " 0 %%%\n" : " 0 -\n")
+        + (end.equals("S") ? value(section) : "");
+    byte[] answer = (what == Act.BAD_LETTER ? "\1" + good.substring(1) : good).getBytes(StandardCharsets.ISO_8859_1);
+    int length = what == Act.HUGE ? (int) 3_000_000_000L : answer.length - (what == Act.CUT_OFF ? 7 : 0)
+        + (what == Act.ENDLESS ? 9 : 0);
+    byte[] frame = ByteBuffer.allocate(4 + answer.length).order(ByteOrder.LITTLE_ENDIAN).putInt(length).put(answer).array();
+    byte[] behind = what == Act.TWICE ? frame : new byte[what == Act.NOISE_BEHIND ? 52 : 0];
+    return ByteBuffer.allocate(frame.length + behind.length).put(frame).put(behind).array();
   }
 
   private void serveHttp(Socket socket) throws IOException {
