After SIGTERM end once nothing is owed, not once every client has left

HttpServer.open() counted connections whose last answer was written and that only waited for their client's end. Done: Aggregator.awaitIdle asks for what is owed (requests under way, answers not yet written); idle connections are closed at the end of the grace, now 0.45 s.

--- a/src/main/java/bitternpulley/Aggregator.java
+++ b/src/main/java/bitternpulley/Aggregator.java
@@ -35,7 +35,7 @@
   /** Descriptors kept for the JVM's own files, discovery and the listeners. */
   private static final int RESERVE = 40;
   /** Ms after SIGTERM for which connections are still taken: clients go on coming until the front has noticed. */
-  private static final double GRACE = 500;
+  private static final double GRACE = 450;
   private static final double DRAIN_CHECK = 20;
   /** Exit status of a configuration that cannot be used. */
   private static final int BAD_CONFIGURATION = 2;
@@ -196,7 +196,7 @@
   }
 
   private void awaitIdle() {
-    if (broker.open() == 0 && front.open() == 0 && search.stream().allMatch(s -> s.front().open() == 0)) {
+    if (broker.open() == 0 && front.busy() == 0 && search.stream().allMatch(s -> s.front().busy() == 0)) {
       drained.countDown();
     } else {
       loop.after(DRAIN_CHECK, this::awaitIdle);
--- a/src/main/java/bitternpulley/net/Connection.java
+++ b/src/main/java/bitternpulley/net/Connection.java
@@ -216,6 +216,11 @@
     }
   }
 
+  /** Whether all that was to be written has gone to the machine. */
+  boolean isWritten() {
+    return writes.isEmpty();
+  }
+
   public boolean isClosed() {
     return closed;
   }
--- a/src/main/java/bitternpulley/net/HttpServer.java
+++ b/src/main/java/bitternpulley/net/HttpServer.java
@@ -157,14 +157,14 @@
     }
     for (Session s : Set.copyOf(sessions)) {
       if (s.idle()) {
-        s.connection.closeAfterWrites();
+        s.connection.close();
       }
     }
   }
 
-  /** Connections that are open. */
-  public int open() {
-    return sessions.size();
+  /** Connections on which something is still owed: a request under way, or an answer not yet written. */
+  public int busy() {
+    return (int) sessions.stream().filter(Session::owes).count();
   }
 
   private final class Session implements Connection.Owner {
@@ -193,6 +193,11 @@
       return call == null && parser.idle() && !broken;
     }
 
+    /** Once its last answer is written and its side ended, a connection owes nothing, whenever its client leaves. */
+    boolean owes() {
+      return call != null || !broken && !parser.idle() || !connection.isWritten();
+    }
+
     int claim() {
       boolean spared = loop.now() - since < SPARED;
       if (idle()) {
