Let no stuck part, broken connection or full queue speak for its whole server

Logged at each refusal what the module held of the servers: many had one part out for 1.2 s and more while they answered the others in 20 ms, and Policy.expected took the age of the oldest part for the server's time ('lat 20 exp 1206'). A RESET of one connection made its server 'down'. Checked: the stuck parts were all on a connection of which nothing came any more, and later parts on others were answered. Done in the module: the age of a part counts only as far as its server kept silent; a part that eight later ones overtook is called off; FULL keeps parts away for two usual latencies and is no failure; a broken connection is not a dead server; trials are paced by the usual latency; a cold server's budget goes by what a quick answer takes. In SlotServers: a connection silent since a part given up on it gets nothing new.

--- a/src/main/java/bitternpulley/platform/SlotServers.java
+++ b/src/main/java/bitternpulley/platform/SlotServers.java
@@ -177,6 +177,8 @@
     final String id;
     final ByteBuffer frame;
     boolean written;
+    /** What had been read on its connection by the time it was written. */
+    long heard;
 
     Call(String id, ByteBuffer frame) {
       this.id = id;
@@ -202,6 +204,8 @@
     private boolean up;
     private boolean over;
     private int frames;
+    private long heard;
+    private boolean left;
     private double idleSince;
 
     Link(String server, HostPort at) {
@@ -236,6 +240,7 @@
     }
 
     private void write(Call call) {
+      call.heard = heard;
       connection.write(call.frame, () -> call.written = true);
     }
 
@@ -248,6 +253,10 @@
         return;
       }
       note(givenUp, call.id, MOST_GIVEN_UP);
+      if (call.heard == heard) {
+        // Guards against a connection that died without a word: nothing came over it since, so nothing new goes there.
+        leave();
+      }
       // Guards against a machine that takes nothing more: its connection ends, and what is out on it with that.
       loop.after(connectTimeout, () -> {
         if (calls.containsKey(attempt)) {
@@ -268,6 +277,9 @@
       byId.remove(call.id, attempt);
       out.remove(attempt);
       idleSince = clock.now();
+      if (left && calls.isEmpty()) {
+        loop.execute(connection::close);
+      }
     }
 
     void close() {
@@ -277,6 +289,7 @@
 
     /** Nothing new goes over this connection. */
     private void leave() {
+      left = true;
       List<Link> all = links.getOrDefault(server, List.of());
       all.remove(this);
       if (all.isEmpty()) {
@@ -290,6 +303,7 @@
       if (over) {
         return;
       }
+      heard++;
       ByteBuffer all = bytes.duplicate();
       List<Event.Ended> ended = new ArrayList<>();
       String fault = null;
--- a/src/main/java/bitternpulley/policy/Policy.java
+++ b/src/main/java/bitternpulley/policy/Policy.java
@@ -95,9 +95,13 @@
   private static final double SILENCE_FACTOR = 4;
   /** So many usual latencies is the most that a server's own counts as in that. */
   private static final double SILENCE_STRETCH = 1.5;
-  /** Ms until a suspect's first trial part, and the longest pause between trials. */
-  private static final double TRIAL_GAP = 1000;
-  private static final double TRIAL_GAP_MOST = 4000;
+  /** Usual latencies until a suspect's first trial part, and the longest pause between trials. */
+  private static final double TRIAL_GAP = 4;
+  private static final double TRIAL_GAP_MOST = 16;
+  /** Usual latencies after which a server that was full is asked again: its queue has moved on by then. */
+  private static final double FULL_FOR = 2;
+  /** Answers to parts sent later to the same server after which a part counts as swallowed there. */
+  private static final int OVERTAKEN = 8;
   /** Average latency, as a share of the shortest aim, until the first answer has come. */
   private static final double FIRST_LATENCY = 0.1;
   /** Ms unheard after which a part goes over a fresh connection: a handshake costs little of its work. */
@@ -117,6 +121,10 @@
   private static final double WATCH_GAP_MOST = 4000;
   /** Work a warm server is sure to do, in ms per ms: one and a half cores, since cores are not told. */
   private static final double SURE_CORES = 1.5;
+  /** Times a quick answer that a part's work counts as, and how fast the figure falls and rises. */
+  private static final double QUICK_ROOM = 2;
+  private static final double QUICK_FALL = 0.1;
+  private static final double QUICK_RISE = 0.01;
   /** Instances let to a cold server for each that has a part for it just then: most have none. */
   private static final double TURN_MISSES = 1.5;
 
@@ -140,6 +148,8 @@
   private final List<Way> ways = new ArrayList<>();
   private final double firstLatency;
   private double window;
+  /** About the time that one answer in ten stays below. */
+  private double quick = Double.POSITIVE_INFINITY;
   /** Parts out that are not late: what a silent server sits on says nothing of the others' load. */
   private int partsOut;
   private boolean freed;
@@ -272,7 +282,7 @@
     double reachable = 0;
     for (PartState p : q.parts) {
       Server s = pick(p, true);
-      if (s == null || tail * expected(s) <= room && !s.full || suspect(s) && now >= s.trialAt) {
+      if (s == null || tail * latency(s) <= room || suspect(s) && now >= s.trialAt) {
         reachable += p.part.weight();
       }
     }
@@ -575,7 +585,7 @@
     p.openCount++;
     p.due = Math.min(p.due, now + a.expected);
     if (suspect(s)) {
-      s.trialAt = now + s.trialGap;
+      s.trialAt = now + s.trialGap * usual();
       s.trialGap = Math.min(2 * s.trialGap, TRIAL_GAP_MOST);
     }
     if (s.out.isEmpty() && now - s.lastHeard > FRESH_AFTER && !suspect(s)) {
@@ -601,7 +611,7 @@
     double bestCost = 0;
     int bestRank = 0;
     for (Server s : fleet.holders(p.part.shard())) {
-      if (s.state != ServerState.LIVE || !coldAllows(s, p) || p.openAt(s)) {
+      if (s.state != ServerState.LIVE || now < s.fullUntil || !coldAllows(s, p) || p.openAt(s)) {
         continue;
       }
       boolean trial = forSend && suspect(s) && now >= s.trialAt;
@@ -632,7 +642,7 @@
   private double copyDue(PartState p) {
     Attempt a = p.lastOpen();
     double usual = usual();
-    if (suspect(a.server)) {
+    if (suspect(a.server) || a.overtaken >= OVERTAKEN) {
       // Guards against parts that sit for seconds where little is hoped for: a suspect's own expected time is
       // stretched by the very failures that made it one, so the others' time is the yardstick.
       return a.sent + LATE_FACTOR_SUSPECT * usual;
@@ -651,7 +661,7 @@
         send(p, s);
       }
     } else if (p.query.kind.effect() != Settings.Effect.UNSAFE && budget(true)
-        && suspect(p.lastOpen().server)) {
+        && (suspect(p.lastOpen().server) || p.lastOpen().overtaken >= OVERTAKEN)) {
       p.attempts.forEach(o -> cancel(p, o));
     }
   }
@@ -711,6 +721,11 @@
     partsOut -= a.late ? 0 : 1;
     freed = a.server.out.remove(a);
     learn(a, e);
+    if (e.outcome() == Outcome.OK) {
+      // Guards against a part that is swallowed on its way or there, while others are answered.
+      a.server.out.stream().filter(o -> o.sent < a.sent && ++o.overtaken == OVERTAKEN)
+          .forEach(o -> dirty.add(o.part.query));
+    }
     if (e.outcome() == Outcome.OK && !p.in) {
       // Late arrivals count as well: the record holds when the part came, answered or not.
       p.step.arrive(now, p.part.weight());
@@ -739,12 +754,13 @@
     switch (e.outcome()) {
       case OK -> {
         smooth(s, took);
+        quick = took < quick ? quick == Double.POSITIVE_INFINITY ? took : quick + QUICK_FALL * (took - quick)
+            : quick + QUICK_RISE * Math.min(took - quick, quick);
         way(s.zone).lost *= a.late ? 1 : 1 - WAY_LOSS;
         s.failures *= 1 - FAILURE_SMOOTHING;
         // Back from refusals: whatever the list says, the process is young.
         s.coldSince = s.down ? now : s.coldSince;
         s.down = false;
-        s.full = false;
         s.streak = 0;
         s.trialGap = TRIAL_GAP;
         s.lastHeard = now;
@@ -757,15 +773,16 @@
       }
       case ERROR -> failed(s);
       case FULL -> {
-        // Guards against queues that never drain: what a full one takes in is given up before its turn.
-        s.full = true;
-        failed(s);
+        // Guards against queues that never drain: what a full one takes in is given up before its turn. It is a
+        // sound server all the same, which a longer pause would leave idle while the others fill up in turn.
+        s.fullUntil = now + FULL_FOR * usual();
       }
       case UNREACHABLE, RESET -> {
         boolean broken = e.outcome() == Outcome.RESET;
         a.part.query.culprit |= broken && a.number > 0 && a.part.query.in == 0;
         a.part.query.broken |= broken;
-        s.down |= !noWay;
+        // One connection that breaks is not its server: a dead one refuses the next.
+        s.down |= !broken && !noWay;
         failed(s);
       }
       default -> { }
@@ -795,13 +812,13 @@
     s.failures += FAILURE_SMOOTHING * (1 - s.failures);
     s.streak++;
     if (suspect(s)) {
-      s.trialAt = Math.max(s.trialAt, now + s.trialGap);
+      s.trialAt = Math.max(s.trialAt, now + s.trialGap * usual());
     }
   }
 
   /** Evidence against a server: failures in a row, refused connections, or silence. */
   private boolean suspect(Server s) {
-    return s.down || s.full || s.streak >= SUSPECT_STREAK || silent(s);
+    return s.down || s.streak >= SUSPECT_STREAK || silent(s);
   }
 
   /**
@@ -828,16 +845,20 @@
     return SILENCE_FACTOR * Math.max(usual(), Math.min(s.latency, SILENCE_STRETCH * usual()));
   }
 
-  /** Smoothed latency, at least the age of the oldest part out, times the tries that a success takes. */
+  /** Smoothed latency, at least the silence that the oldest part out has met, times the tries that a success takes. */
   private double expected(Server s) {
+    double success = 1 - Math.min(s.failures, FAILURE_MOST);
+    return latency(s) / (success * success);
+  }
+
+  private double latency(Server s) {
     double latency = way(s.zone).latency / warmth(s);
     if (s.latency > 0) {
       double unheard = s.out.size() > 0 ? 0 : now - Math.max(s.lastHeard, 0);
       latency += (s.latency - latency) * Math.pow(0.5, unheard / FORGET_HALF);
     }
-    latency = Math.max(latency, oldestAge(s));
-    double success = 1 - Math.min(s.failures, FAILURE_MOST);
-    return latency / (success * success);
+    // Guards against one part that is never answered making a server that answers all others look slow.
+    return Math.max(latency, Math.min(oldestAge(s), now - s.lastHeard));
   }
 
   /** Age of the oldest part that waits at a server; 0 where none does. */
@@ -867,9 +888,9 @@
     return age >= rules.coldTime() ? 1 : rules.coldFrom() + (1 - rules.coldFrom()) * age / rules.coldTime();
   }
 
-  /** The work of a part: as hinted, else no more than the quickest zone takes for one. */
+  /** The work of a part: as hinted, else what a quick answer takes with room for chance, since most also wait. */
   private double work(PartState p) {
-    return p.part.work() > 0 ? p.part.work() : usual();
+    return p.part.work() > 0 ? p.part.work() : Math.min(usual(), quick * QUICK_ROOM);
   }
 
   // --- Alarms and ends ---------------------------------------------------------------------------
--- a/src/main/java/bitternpulley/policy/State.java
+++ b/src/main/java/bitternpulley/policy/State.java
@@ -23,7 +23,7 @@
     double failures;
     int streak;
     boolean down;
-    boolean full;
+    double fullUntil = Double.NEGATIVE_INFINITY;
     double lastHeard = Double.NEGATIVE_INFINITY;
     double coldSince = Double.NEGATIVE_INFINITY;
     double trialAt;
@@ -37,7 +37,7 @@
       failures = 0;
       streak = 0;
       down = false;
-      full = false;
+      fullUntil = Double.NEGATIVE_INFINITY;
     }
   }
 
@@ -111,6 +111,7 @@
     boolean neverRan;
     boolean fresh;
     boolean late;
+    int overtaken;
 
     Attempt(PartState part, Server server, int number, double sent, double expected) {
       this.part = part;
