--- a/src/main/java/bitternpulley/policy/Policy.java
+++ b/src/main/java/bitternpulley/policy/Policy.java
@@ -773,8 +773,8 @@
       }
       case ERROR -> failed(s);
       case FULL -> {
-        // Guards against queues that never drain: what a full one takes in is given up before its turn. It is a
-        // sound server all the same, which a longer pause would leave idle while the others fill up in turn.
+        // Guards against queues that never drain: what a full one takes in is given up before its turn.
+        // It is sound all the same: a longer pause would leave it idle while the others fill up in turn.
         s.fullUntil = now + FULL_FOR * usual();
       }
       case UNREACHABLE, RESET -> {
@@ -845,12 +845,13 @@
     return SILENCE_FACTOR * Math.max(usual(), Math.min(s.latency, SILENCE_STRETCH * usual()));
   }
 
-  /** Smoothed latency, at least the silence that the oldest part out has met, times the tries that a success takes. */
+  /** A server's latency times the tries that a success takes. */
   private double expected(Server s) {
     double success = 1 - Math.min(s.failures, FAILURE_MOST);
     return latency(s) / (success * success);
   }
 
+  /** Smoothed latency, at least the silence that the oldest part out has met. */
   private double latency(Server s) {
     double latency = way(s.zone).latency / warmth(s);
     if (s.latency > 0) {
@@ -888,7 +889,7 @@
     return age >= rules.coldTime() ? 1 : rules.coldFrom() + (1 - rules.coldFrom()) * age / rules.coldTime();
   }
 
-  /** The work of a part: as hinted, else what a quick answer takes with room for chance, since most also wait. */
+  /** The work of a part: as hinted, else what a quick answer takes, with room for chance. */
   private double work(PartState p) {
     return p.part.work() > 0 ? p.part.work() : Math.min(usual(), quick * QUICK_ROOM);
   }
