Look at held queries now and then, keep the usual latency, drop surplus in large reads

Seen: bad clients with servers in trouble, 20 to 40% refused in 15-20 s; refused were queries held for longer than their whole aim while nothing was out, and windows of 7 parts. To blame: admitHeld judged every held query anew at each event, some hundred times eight parts times two holders; the node sat at its half core, so all answers looked late, the window shrank and more was held. steerWindow also took the answers of one slow server for load. Done: a held query is looked at when there is room or every 50 ms; usual() is kept; a server three times slower than the rest does not narrow the window; what a refused client still writes is read in pieces of up to 512 KB, 8 ms apart.

--- a/src/main/java/bitternpulley/net/Connection.java
+++ b/src/main/java/bitternpulley/net/Connection.java
@@ -25,7 +25,9 @@
   /** Ms that a write may wait for its peer to read. */
   private static final double WRITE_TIME = 3000;
   /** What comes in to be dropped goes here, from all connections: nobody looks at it. */
-  private static final ByteBuffer DROPPED = ByteBuffer.allocateDirect(64 * 1024);
+  private static final ByteBuffer DROPPED = ByteBuffer.allocateDirect(512 * 1024);
+  /** Ms between such reads: few large ones cost far less than what comes as fast as it can be taken. */
+  private static final double DROP_PAUSE = 8;
 
   /** What the owner of a connection is told. */
   public interface Owner {
@@ -130,7 +132,11 @@
       }
       // Only now: whoever resumes while the bytes are lent must not have them overwritten.
       reading = false;
-      read();
+      if (drops && !closed) {
+        loop.after(DROP_PAUSE, this::read);
+      } else {
+        read();
+      }
     }));
   }
 
--- a/src/main/java/bitternpulley/policy/Policy.java
+++ b/src/main/java/bitternpulley/policy/Policy.java
@@ -75,6 +75,8 @@
   /** Parts the window gains by a timely part, and the share that it loses by a late one. */
   private static final double WINDOW_GAIN = 0.25;
   private static final double WINDOW_LOSS = 0.02;
+  /** Usual latencies above which a server's own tells of itself, not of the load. */
+  private static final double SLOW_ALONE = 3;
   /** Expected times that must fit before the aim: a query waits for the last of its parts. */
   private static final double TAIL = 1.5;
   /** Average latencies that a refused client is advised to stay away. */
@@ -147,6 +149,7 @@
   private final int[] usualVotes;
   private final List<Way> ways = new ArrayList<>();
   private final double firstLatency;
+  private double usual;
   private double window;
   /** About the time that one answer in ten stays below. */
   private double quick = Double.POSITIVE_INFINITY;
@@ -167,6 +170,7 @@
     settings.classes().forEach(c -> records.add(new ArrivalRecord[] {
         new ArrivalRecord(RECORD_STEPS, RECORD_AGE), new ArrivalRecord(RECORD_STEPS, RECORD_AGE)}));
     firstLatency = FIRST_LATENCY * settings.classes().stream().mapToDouble(c -> c.aim()).min().orElse(1);
+    usual = firstLatency;
     settings.tenants().forEach(t -> tenantParts.add(new WindowCount(SHARE_WINDOW)));
     usualTry = new double[settings.classes().size()];
     usualVotes = new int[settings.classes().size()];
@@ -295,11 +299,19 @@
 
   /** Starts held queries while the window has room, most worth per work first, then oldest aim. */
   private void admitHeld() {
+    // Guards against a node busy with nothing but the queries it holds: each is looked at now and then.
+    if (partsOut >= window && held.stream().noneMatch(q -> now >= q.checkAt)) {
+      return;
+    }
     List<QueryState> order = new ArrayList<>(held);
     order.sort(
         Comparator.<QueryState>comparingDouble(q -> -worthPerWork(q)).thenComparingDouble(q -> q.aimAt));
     int load = partsOut;
     for (QueryState q : order) {
+      if (load >= window && now < q.checkAt) {
+        continue;
+      }
+      q.checkAt = now + HOLD;
       if (!refused(q) && load < window) {
         held.remove(q);
         q.awaitsParts = false;
@@ -333,6 +345,10 @@
   /** Guards against queues that make all answers late, whatever fills them: fewer parts out then. */
   private void steerWindow(Attempt a, double took) {
     if (took > TIMELY_SHARE * a.part.query.kind.aim()) {
+      // A server that is slower than the rest by far is not what fewer parts out would help.
+      if (a.server.latency > SLOW_ALONE * usual()) {
+        return;
+      }
       window = Math.max(WINDOW_LEAST, window * (1 - WINDOW_LOSS));
     } else if (2 * partsOut >= window) {
       window += WINDOW_GAIN;
@@ -800,11 +816,15 @@
   private void smooth(Way way, double took) {
     way.latency += WAY_SMOOTHING * (Math.min(took, OUTLIER * way.latency) - way.latency);
     way.heard = true;
+    usual = Double.POSITIVE_INFINITY;
+    for (Way w : ways) {
+      usual = w.heard ? Math.min(usual, w.latency) : usual;
+    }
   }
 
   /** The yardstick for what is late: the quickest zone's latency, which no slow way or zone can stretch. */
   private double usual() {
-    return ways.stream().filter(w -> w.heard).mapToDouble(w -> w.latency).min().orElse(firstLatency);
+    return usual;
   }
 
   /** A failure says nothing of speed, so that quick errors do not make a server look fast. */
--- a/src/main/java/bitternpulley/policy/State.java
+++ b/src/main/java/bitternpulley/policy/State.java
@@ -178,6 +178,7 @@
     boolean whole = true;
     boolean over;
     double alarm = Double.POSITIVE_INFINITY;
+    double checkAt = Double.NEGATIVE_INFINITY;
     ArrivalRecord.Step arrivals;
 
     QueryState(Router.Query query, Settings.QueryClass kind, double now, double aimAt, double endBy) {
