--- a/src/main/java/bitternpulley/platform/SlotServers.java
+++ b/src/main/java/bitternpulley/platform/SlotServers.java
@@ -32,9 +32,12 @@
   /** Parts given up, and parts answered, that a connection remembers by name. */
   private static final int MOST_GIVEN_UP = 256;
   private static final int MOST_ANSWERED = 32;
-  /** Parts out on a connection beyond which another is opened, and connections to one server at most. */
-  private static final int SHARED_BY = 4;
-  private static final int MOST_TO_ONE = 4;
+  /**
+   * Parts out on a connection beyond which another is opened, and connections to one server at most. Guards against a
+   * connection that ends right after an answer, or is spoilt by one, taking other parts along.
+   */
+  private static final int SHARED_BY = 1;
+  private static final int MOST_TO_ONE = 8;
   /** Ms that a frame may take to come in whole once it has begun. */
   private static final double FRAME_TIME = 300;
   /** Ms between looks for connections that are idle for too long. */
@@ -47,6 +50,7 @@
   private final double idleAfter;
   private final double connectTimeout;
   private final int mostLinks;
+  private final int sharedBy;
   private final Map<String, HostPort> addresses = new HashMap<>();
   private final Map<String, List<Link>> links = new HashMap<>();
   private final Map<AttemptId, Link> out = new HashMap<>();
@@ -55,6 +59,13 @@
 
   public SlotServers(EventLoop loop, Consumer<Event> events, Clock clock, Configuration.Wire wire, double connectTimeout,
       int mostLinks) {
+    this(loop, events, clock, wire, connectTimeout, mostLinks, SHARED_BY);
+  }
+
+  /** As above, where so many parts share a connection before another is opened. */
+  SlotServers(EventLoop loop, Consumer<Event> events, Clock clock, Configuration.Wire wire, double connectTimeout,
+      int mostLinks, int sharedBy) {
+    this.sharedBy = sharedBy;
     this.loop = loop;
     this.events = events;
     this.clock = clock;
@@ -130,7 +141,7 @@
         least = l;
       }
     }
-    if (least != null && (least.calls.size() < SHARED_BY || all.size() >= MOST_TO_ONE || open >= mostLinks)) {
+    if (least != null && (least.calls.size() < sharedBy || all.size() >= MOST_TO_ONE || open >= mostLinks)) {
       return least;
     }
     if (open >= mostLinks) {
--- a/src/test/java/bitternpulley/platform/SlotServersTest.java
+++ b/src/test/java/bitternpulley/platform/SlotServersTest.java
@@ -1,6 +1,7 @@
 package bitternpulley.platform;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import bitternpulley.broker.AttemptId;
 import bitternpulley.broker.Clock;
@@ -45,7 +46,7 @@
   public void listen() throws IOException {
     events.clear();
     loop = new EventLoop();
-    servers = new SlotServers(loop, events::add, Clock.system(), new Configuration.Wire(100, 15_000), 5000, 10);
+    servers = new SlotServers(loop, events::add, Clock.system(), new Configuration.Wire(100, 15_000), 5000, 10, 4);
     List<Request.Slice> slices = IntStream.range(0, 9).mapToObj(i -> new Request.Slice(i, 0.1, 0)).toList();
     request = new Request(1, servers, 0, 3000, false, Router.Terms.OF_CLASS, slices,
         new PlatformQuery("q", 0, 3000, false, null, "f", slices, null));
@@ -134,6 +135,23 @@
         new Event.Ended(new AttemptId(1, 0), Router.Outcome.RESET, null)));
   }
 
+  /** Guards against a connection that ends right after an answer and takes another part along. */
+  @Test
+  public void asARuleAPartHasAConnectionOfItsOwn() throws Exception {
+    servers = new SlotServers(loop, events::add, Clock.system(), new Configuration.Wire(100, 15_000), 5000, 10);
+    loop.execute(() -> servers.address("s", new HostPort("127.0.0.1", server.getLocalPort())));
+    start(0, 0);
+    start(1, 0);
+    try (Socket first = server.accept(); Socket second = server.accept()) {
+      List<String> calls = List.of(frame(first), frame(second));
+      assertTrue(calls.containsAll(List.of(call(0), call(1))), calls.toString());
+      first.getOutputStream().write(answer(calls.indexOf(call(0)) == 0 ? 0 : 1, "00000000000000aa"));
+      outcomes(1);
+      start(2, 0);
+      assertEquals(frame(first), call(2), "over the one that is free again");
+    }
+  }
+
   /** Guards against one spoilt answer that blames a server for all that was out on its connection. */
   @Test
   public void aSpoiltAnswerFailsItsOwnPartAndTakesTheOthersBack() throws Exception {
