--- a/src/main/java/bitternpulley/Aggregator.java
+++ b/src/main/java/bitternpulley/Aggregator.java
@@ -1,5 +1,7 @@
 package bitternpulley;
 
+import bitternpulley.admin.Door;
+import bitternpulley.admin.StandingFile;
 import bitternpulley.broker.Broker;
 import bitternpulley.broker.Clock;
 import bitternpulley.broker.Event;
@@ -49,8 +51,10 @@
   private final HttpServer front;
   private final Optional<SearchSide> search;
   private final Discovery discovery;
+  private final Door door;
   private boolean anyServer;
   private boolean draining;
+  private boolean quiesced;
   private boolean rehearsed;
 
   /** The second front, where one is configured: its servers, its listener and the address of that. */
@@ -67,10 +71,12 @@
     servers = new SlotServers(loop, broker::submit, clock, config.wire(), connectTimeout, links);
     broker.add(servers);
     QueryFront queries =
-        new QueryFront(config.settings(), broker, servers, () -> anyServer && rehearsed && !draining);
+        new QueryFront(config.settings(), broker, servers, () -> anyServer && rehearsed && !draining && !quiesced);
     servers.answersTo(queries::reply);
     front = new HttpServer(loop, MOST_BODY, clients, HttpServer.Times.USUAL, queries);
     search = searchConfig.map(c -> searchSide(c, connectTimeout, links, clients));
+    door = new Door(loop, broker, new StandingFile(config.operations().folder()), () -> rehearsed && !draining,
+        this::quiesce);
     discovery = new Discovery(loop, config.discovery(), config.zones(), config.known().revision(),
         list -> told(list, list.complete() ? Router.ListKind.COMPLETE : Router.ListKind.CHANGES));
   }
@@ -111,12 +117,21 @@
     aggregator.loop.execute(() -> aggregator.serve(rehearsal));
   }
 
+  private void quiesce(boolean on) {
+    quiesced = on;
+    front.quiesce(on);
+    search.ifPresent(s -> s.front().quiesce(on));
+  }
+
   private void serve(Runnable rehearsal) {
+    if (config.operations().admin().isPresent()) {
+      openDoor(config.operations().admin().get());
+    }
     told(config.known(), Router.ListKind.REMEMBERED);
     discovery.start();
     // The platform's front comes last: it is what says that the program is ready.
-    search.ifPresent(s -> listen(s.front(), s.listen()));
-    listen(front, config.listen());
+    search.ifPresent(s -> listen(s.front()::listen, s.listen()));
+    listen(front::listen, config.listen());
     new Rehearsal(config.settings(), loop).play(() -> {
       HangupSignal.onEach(this::reload);
       rehearsed = true;
@@ -125,9 +140,19 @@
     });
   }
 
-  private void listen(HttpServer server, HostPort at) {
+  /** What operators have ordered holds before the first list is heard, and so before the first send. */
+  private void openDoor(HostPort at) {
+    door.takeUp();
+    listen(door::listen, at);
+  }
+
+  private interface Listening {
+    void at(HostPort at) throws IOException;
+  }
+
+  private static void listen(Listening server, HostPort at) {
     try {
-      server.listen(at);
+      server.at(at);
     } catch (IOException e) {
       LOG.log(Level.ERROR, "cannot listen at " + at, e);
       Runtime.getRuntime().halt(1);
--- /dev/null
+++ b/src/main/java/bitternpulley/admin/Door.java
@@ -0,0 +1,95 @@
+package bitternpulley.admin;
+
+import bitternpulley.broker.Broker;
+import bitternpulley.broker.Effect;
+import bitternpulley.broker.Event;
+import bitternpulley.broker.Operators;
+import bitternpulley.broker.Payload;
+import bitternpulley.broker.Standing;
+import bitternpulley.net.EventLoop;
+import bitternpulley.net.HostPort;
+import bitternpulley.net.LineServer;
+import java.io.IOException;
+import java.lang.System.Logger.Level;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+
+/** The operators' door: one line in, one line back, which starts with 200 or 400. It decides nothing itself. */
+public final class Door implements LineServer.Handler, Operators {
+  private static final System.Logger LOG = System.getLogger(Door.class.getName());
+
+  private record Caller(String line, Consumer<String> answer) implements Payload {}
+
+  private final EventLoop loop;
+  private final Broker broker;
+  private final StandingFile file;
+  private final BooleanSupplier serving;
+  private final Consumer<Boolean> quiesce;
+
+  /** {@code serving} tells whether this process takes clients; {@code quiesce} has the fronts send them away. */
+  public Door(EventLoop loop, Broker broker, StandingFile file, BooleanSupplier serving, Consumer<Boolean> quiesce) {
+    this.loop = loop;
+    this.broker = broker;
+    this.file = file;
+    this.serving = serving;
+    this.quiesce = quiesce;
+    broker.operators(this);
+  }
+
+  /** Has what stands take effect, before anything is sent, and then what another process changes of it. */
+  public void takeUp() {
+    stands(file.read());
+    file.watch(standing -> loop.execute(() -> stands(standing)));
+  }
+
+  public void listen(HostPort at) throws IOException {
+    new LineServer(loop, this).listen(at);
+  }
+
+  private void stands(Standing standing) {
+    broker.submit(new Event.Stands(standing));
+  }
+
+  @Override
+  public void line(String line, Consumer<String> answer) {
+    String[] words = line.split(" +");
+    switch (words[0] + "/" + words.length) {
+      case "health/1" -> answer.accept(serving.getAsBoolean() ? "200 yes" : "400 no clients are taken");
+      case "cordon/2" -> order(new Standing.Order(words[1], true), line, answer);
+      case "uncordon/2" -> order(new Standing.Order(words[1], false), line, answer);
+      case "quiesce/1" -> order(new Standing.Order(null, true), line, answer);
+      case "resume/1" -> order(new Standing.Order(null, false), line, answer);
+      default -> answer.accept("400 calls are: health, cordon ID, uncordon ID, quiesce, resume");
+    }
+  }
+
+  @Override
+  public String tooLong() {
+    return "400 the line is too long";
+  }
+
+  private void order(Standing.Order order, String line, Consumer<String> answer) {
+    broker.submit(new Event.Ordered(order, new Caller(line, answer)));
+  }
+
+  @Override
+  public void keep(Effect.Keep kept) {
+    Caller caller = (Caller) kept.caller();
+    file.change(kept.order(), (standing, failure) -> loop.execute(() -> {
+      LOG.log(Level.INFO, "by an operator: " + caller.line());
+      stands(standing);
+      caller.answer().accept(failure == null ? "200 done" : "200 done, but an upgrade will not know of it: " + failure);
+    }));
+  }
+
+  @Override
+  public void refuse(Effect.Turn turned) {
+    ((Caller) turned.caller()).answer().accept("400 " + turned.why());
+  }
+
+  @Override
+  public void quiesce(boolean on) {
+    LOG.log(Level.INFO, on ? "clients are sent away" : "clients are taken");
+    quiesce.accept(on);
+  }
+}
--- a/src/main/java/bitternpulley/broker/Broker.java
+++ b/src/main/java/bitternpulley/broker/Broker.java
@@ -19,6 +19,7 @@
   private final Timer timer;
   private final List<Dialect> dialects = new ArrayList<>();
   private final ArrayDeque<Event> waiting = new ArrayDeque<>();
+  private Operators operators;
   private boolean busy;
   private long lastId;
 
@@ -33,6 +34,11 @@
     dialects.add(dialect);
   }
 
+  /** Says who carries out what operators order. */
+  public void operators(Operators operators) {
+    this.operators = operators;
+  }
+
   /** A fresh id for a request. */
   public long nextId() {
     return ++lastId;
@@ -71,6 +77,12 @@
         timer.after(e.time() - clock.now(), () -> submit(e.event()));
       } else if (effect instanceof Effect.CloseIdle e) {
         dialects.forEach(d -> d.closeIdle(e.server()));
+      } else if (effect instanceof Effect.Keep e) {
+        operators.keep(e);
+      } else if (effect instanceof Effect.Turn e) {
+        operators.refuse(e);
+      } else if (effect instanceof Effect.Quiesce e) {
+        operators.quiesce(e.on());
       } else if (effect instanceof Effect.Log e) {
         LOG.log(Level.INFO, e.text());
       }
--- a/src/main/java/bitternpulley/broker/Effect.java
+++ b/src/main/java/bitternpulley/broker/Effect.java
@@ -20,6 +20,15 @@
   /** Close the idle connections to a server. */
   record CloseIdle(String server) implements Effect {}
 
+  /** Keep an operator's order, then tell its caller. */
+  record Keep(Standing.Order order, Payload caller) implements Effect {}
+
+  /** Tell an operator that an order cannot be carried out. */
+  record Turn(Payload caller, String why) implements Effect {}
+
+  /** Send clients away, or take them again. */
+  record Quiesce(boolean on) implements Effect {}
+
   /** Write a line to the log. */
   record Log(String text) implements Effect {}
 
--- a/src/main/java/bitternpulley/broker/Event.java
+++ b/src/main/java/bitternpulley/broker/Event.java
@@ -29,6 +29,12 @@
   /** An attempt's time is over. */
   record Overdue(AttemptId attempt) implements Event {}
 
+  /** An operator has ordered something; {@code caller} is for the answer. */
+  record Ordered(Standing.Order order, Payload caller) implements Event {}
+
+  /** What now stands of the operators' orders, as it is kept. */
+  record Stands(Standing standing) implements Event {}
+
   /** An alarm that the module set is due. */
   record Alarm(String token) implements Event {}
 }
--- a/src/main/java/bitternpulley/broker/Reducer.java
+++ b/src/main/java/bitternpulley/broker/Reducer.java
@@ -69,6 +69,9 @@
   private final Map<Long, Part> parts = new HashMap<>();
   private final ArrayDeque<Event> inner = new ArrayDeque<>();
   private final Recorder recorder = new Recorder();
+  /** What discovery last said of each server that is there; operators' orders are laid over it. */
+  private final Map<String, Router.Member> listed = new HashMap<>();
+  private Standing standing = Standing.NOTHING;
   private List<Effect> effects = new ArrayList<>();
   private long nextPart = 1;
   private int partsHeld;
@@ -114,7 +117,11 @@
         router.gone(e.request(), now, recorder);
       }
     } else if (event instanceof Event.Told e) {
-      router.members(e.kind(), e.members(), now, recorder);
+      told(e);
+    } else if (event instanceof Event.Ordered e) {
+      ordered(e);
+    } else if (event instanceof Event.Stands e) {
+      stands(e.standing());
     } else if (event instanceof Event.Ended e) {
       ended(e.attempt(), e.outcome(), e.value());
     } else if (event instanceof Event.Faulted e) {
@@ -137,6 +144,51 @@
     }
   }
 
+  private void told(Event.Told e) {
+    if (e.kind() != Router.ListKind.CHANGES) {
+      listed.clear();
+    }
+    for (Router.Member m : e.members()) {
+      if (m.state() == Router.ServerState.GONE) {
+        listed.remove(m.server());
+      } else {
+        listed.put(m.server(), m);
+      }
+    }
+    router.members(e.kind(), e.members().stream().map(this::asOrdered).toList(), now, recorder);
+  }
+
+  /** A cordoned server drains, whatever discovery says of it meanwhile, so that the module's own rule on that holds. */
+  private Router.Member asOrdered(Router.Member m) {
+    return m.state() == Router.ServerState.LIVE && standing.cordoned().contains(m.server())
+        ? new Router.Member(m.server(), m.zone(), m.cell(), Router.ServerState.DRAINING, m.startedAt()) : m;
+  }
+
+  /** A cordoned server may have left the list since; letting it back in must work all the same. */
+  private void ordered(Event.Ordered e) {
+    String server = e.order().server();
+    if (server == null || listed.containsKey(server) || standing.cordoned().contains(server)) {
+      effects.add(new Effect.Keep(e.order(), e.caller()));
+    } else {
+      effects.add(new Effect.Turn(e.caller(), "no server is known by this id"));
+    }
+  }
+
+  private void stands(Standing fresh) {
+    Standing before = standing;
+    standing = fresh;
+    List<Router.Member> out = listed.values().stream().filter(m -> fresh.cordoned().contains(m.server())
+        && !before.cordoned().contains(m.server())).map(this::asOrdered).toList();
+    if (!out.isEmpty()) {
+      router.members(Router.ListKind.CHANGES, out, now, recorder);
+    }
+    before.cordoned().stream().filter(s -> !fresh.cordoned().contains(s)).map(listed::get)
+        .filter(m -> m != null).forEach(m -> router.readmitted(m, now, recorder));
+    if (fresh.quiesced() != before.quiesced()) {
+      effects.add(new Effect.Quiesce(fresh.quiesced()));
+    }
+  }
+
   private void take(Request r) {
     Open open = new Open(r, now + r.timeLeft(), nextPart);
     requests.put(r.id(), open);
--- a/src/main/java/bitternpulley/config/Configuration.java
+++ b/src/main/java/bitternpulley/config/Configuration.java
@@ -2,12 +2,17 @@
 
 import bitternpulley.policy.Settings;
 import bitternpulley.net.HostPort;
+import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
 
 /** All that one aggregator is told at its start, checked. {@code known} is the list it last held. */
 public record Configuration(
     String name, HostPort listen, HostPort discovery, long seed, int sockets, ServerList known, Settings settings,
-    Wire wire, List<String> zones) {
+    Wire wire, List<String> zones, Operations operations) {
+
+  /** Where operators call, and the folder that outlives the process; each may be missing. */
+  public record Operations(Optional<HostPort> admin, Optional<Path> folder) {}
 
   /** Figures of the wire to the slot servers: calls a connection, and ms after which an idle one is closed there. */
   public record Wire(int streams, double keepalive) {
--- a/src/main/java/bitternpulley/config/ConfigurationReader.java
+++ b/src/main/java/bitternpulley/config/ConfigurationReader.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /** Reads the configuration file that LB_CONFIG names; the other variables go before what it says. */
 public final class ConfigurationReader {
@@ -41,7 +42,9 @@
     return new Configuration(value(environment, in, "LB_NAME", "name"),
         address(environment, in, "LB_LISTEN", "listen"), address(environment, in, "LB_DISCOVERY", "discovery"),
         seed(in), (int) sockets, list, SettingsReader.read(settings),
-        new Configuration.Wire((int) streams, keepalive), zones);
+        new Configuration.Wire((int) streams, keepalive), zones,
+        new Configuration.Operations(admin(environment, in),
+            Optional.ofNullable(environment.get("TMPDIR")).filter(f -> !f.isEmpty()).map(Path::of)));
   }
 
   /**
@@ -106,6 +109,12 @@
     }
   }
 
+  /** The operators' door, which only some deployments have. */
+  private static Optional<HostPort> admin(Map<String, String> environment, JsonNode in) {
+    boolean none = environment.getOrDefault("LB_ADMIN", in.path("admin").asText("")).isEmpty();
+    return none ? Optional.empty() : Optional.of(address(environment, in, "LB_ADMIN", "admin"));
+  }
+
   private static long seed(JsonNode in) {
     String seed = in.path("seed").asText("");
     try {
--- a/src/main/java/bitternpulley/net/HttpServer.java
+++ b/src/main/java/bitternpulley/net/HttpServer.java
@@ -24,6 +24,13 @@
   /** Ms until accepting is tried again after it failed, as it does when descriptors run out. */
   private static final double ACCEPT_PAUSE = 50;
 
+  /**
+   * While quiesced, ms after which an idle connection is closed, time enough for a request that is on its way; and ms
+   * after the call to that by which those begun before must be whole: none that is younger than 2 s may be held at 4 s.
+   */
+  private static final double QUIET_AFTER = 1000;
+  private static final double LAST_WHOLE = 1800;
+
   /** Ms that a client has to begin its first request, to send a whole one, and to begin the next. */
   public record Times(double first, double whole, double next) {
     /** Both ends of a bad connection come within 3 s; a good one is opened again at little cost. */
@@ -62,6 +69,8 @@
   private AsynchronousServerSocketChannel listener;
   private boolean accepting;
   private boolean draining;
+  private boolean quiesced;
+  private double quiescedAt;
   private long held;
 
   /** A server that holds so many connections, which have so much time. */
@@ -148,6 +157,12 @@
     draining = true;
   }
 
+  /** Sends clients away, or keeps their connections again; connections are taken and served all the while. */
+  public void quiesce(boolean on) {
+    quiesced = on;
+    quiescedAt = loop.now();
+  }
+
   /** Takes no more connections and ends those that are idle; the others end with their answers. */
   public void stopListening() {
     try {
@@ -209,7 +224,12 @@
     /** Guards against connections that are opened and left, and requests that are begun and never end. */
     void check() {
       double age = loop.now() - since;
-      if (idle() && age > (count == 0 ? times.first() : times.next())) {
+      double quiet = quiesced ? loop.now() - quiescedAt : 0;
+      if (quiet > QUIET_AFTER && idle() && age > QUIET_AFTER) {
+        connection.close();
+      } else if (quiet > LAST_WHOLE && since < quiescedAt + LAST_WHOLE && call == null && !broken && !parser.idle()) {
+        refuse(503, "clients are being sent away");
+      } else if (idle() && age > (count == 0 ? times.first() : times.next())) {
         connection.close();
       } else if (call == null && !broken && !parser.idle() && age > times.whole()) {
         refuse(408, "the request did not end in time");
@@ -280,7 +300,7 @@
     }
 
     private void send(Response r, boolean keep) {
-      boolean stays = keep && !draining;
+      boolean stays = keep && !draining && !quiesced;
       StringBuilder text = new StringBuilder("HTTP/1.1 ").append(r.status()).append(' ').append(reason(r.status()));
       r.headers().forEach((name, value) -> text.append("\r\n").append(name).append(": ").append(value));
       text.append("\r\nContent-Length: ").append(r.body().length);
--- /dev/null
+++ b/src/main/java/bitternpulley/net/LineServer.java
@@ -0,0 +1,117 @@
+package bitternpulley.net;
+
+import java.io.IOException;
+import java.lang.System.Logger.Level;
+import java.nio.ByteBuffer;
+import java.nio.channels.AsynchronousServerSocketChannel;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.nio.channels.CompletionHandler;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/** Listens for connections of one line each, which get one line back. */
+public final class LineServer {
+  private static final System.Logger LOG = System.getLogger(LineServer.class.getName());
+  private static final int BACKLOG = 64;
+  private static final int MOST_LINE = 512;
+  /** Callers at once; beyond, the one that has been silent for longest makes room. */
+  private static final int MOST_CALLERS = 16;
+  /** Ms that a caller has to write its line and to take its answer. */
+  private static final double MOST_TIME = 10_000;
+  private static final double ACCEPT_PAUSE = 50;
+
+  /** Takes a whole line; the answer may come at any time, once. */
+  public interface Handler {
+    void line(String line, Consumer<String> answer);
+
+    /** The answer to a line that is too long. */
+    String tooLong();
+  }
+
+  private final EventLoop loop;
+  private final Handler handler;
+  private final Set<Caller> callers = new LinkedHashSet<>();
+  private AsynchronousServerSocketChannel listener;
+
+  public LineServer(EventLoop loop, Handler handler) {
+    this.loop = loop;
+    this.handler = handler;
+  }
+
+  /** Begins to listen. */
+  public void listen(HostPort at) throws IOException {
+    listener = AsynchronousServerSocketChannel.open(loop.group()).bind(at.address(), BACKLOG);
+    accept();
+  }
+
+  private void accept() {
+    listener.accept(null, new CompletionHandler<AsynchronousSocketChannel, Void>() {
+      @Override
+      public void completed(AsynchronousSocketChannel channel, Void nothing) {
+        loop.inTurn(() -> {
+          makeRoom();
+          Caller caller = new Caller(channel);
+          callers.add(caller);
+          caller.connection.start(caller);
+          accept();
+        });
+      }
+
+      @Override
+      public void failed(Throwable e, Void nothing) {
+        LOG.log(Level.WARNING, "accept failed: " + e);
+        loop.after(ACCEPT_PAUSE, LineServer.this::accept);
+      }
+    });
+  }
+
+  /** Guards against silent callers that keep out the rest. */
+  private void makeRoom() {
+    if (callers.size() >= MOST_CALLERS) {
+      callers.stream().filter(c -> !c.asked).findFirst().or(() -> callers.stream().findFirst())
+          .ifPresent(c -> c.connection.close());
+    }
+  }
+
+  private final class Caller implements Connection.Owner {
+    private final Connection connection;
+    private final StringBuilder line = new StringBuilder();
+    private boolean asked;
+
+    Caller(AsynchronousSocketChannel channel) {
+      connection = new Connection(loop, channel);
+      loop.after(MOST_TIME, connection::close);
+    }
+
+    @Override
+    public void received(ByteBuffer bytes) {
+      while (!asked && bytes.hasRemaining()) {
+        char c = (char) (bytes.get() & 0xff);
+        if (c == '\n') {
+          ask(() -> handler.line(line.toString().strip(), this::answer));
+        } else if (line.append(c).length() > MOST_LINE) {
+          ask(() -> answer(handler.tooLong()));
+        }
+      }
+    }
+
+    private void ask(Runnable question) {
+      asked = true;
+      // Guards against a caller that ends its side behind its line, which is no reason to leave it without an answer.
+      connection.pause();
+      question.run();
+    }
+
+    private void answer(String text) {
+      connection.write(ByteBuffer.wrap((text + "\n").getBytes(StandardCharsets.UTF_8)), () -> { });
+      connection.closeAfterWrites();
+    }
+
+    @Override
+    public void closed() {
+      callers.remove(this);
+    }
+  }
+}
--- a/src/main/java/bitternpulley/policy/Policy.java
+++ b/src/main/java/bitternpulley/policy/Policy.java
@@ -205,6 +205,14 @@
     fleet.prune();
   }
 
+  /** It counts as started just now, and is owed a part as soon as the cold budget allows. */
+  @Override
+  public void readmitted(Member m, double now, Actions out) {
+    at(now, out);
+    note(new Member(m.server(), m.zone(), m.cell(), m.state(), now));
+    fleet.get(m, rules.tipWindow()).owed = true;
+  }
+
   private void note(Member m) {
     Server s = fleet.get(m, rules.tipWindow());
     if (s.trialGap == 0) {
@@ -614,6 +622,7 @@
         out.close(s.id);
       }
     }
+    s.owed = false;
     s.out.add(a);
     partsOut++;
     s.coldWork.add(now, work(p));
@@ -630,7 +639,8 @@
       if (s.state != ServerState.LIVE || now < s.fullUntil || !coldAllows(s, p) || p.openAt(s)) {
         continue;
       }
-      boolean trial = forSend && suspect(s) && now >= s.trialAt;
+      // Guards against a server let back in that is passed by for good, since a cold one looks slow.
+      boolean trial = forSend && (s.owed || suspect(s) && now >= s.trialAt);
       int rank = p.tried(s) || suspect(s) && !trial ? 1 : 0;
       double far = s.zone == settings.zone() ? 0 : ZONE_BAND * settings.prices().crossZone();
       double arrives = 1 - Math.min(way(s.zone).lost, FAILURE_MOST);
--- a/src/main/java/bitternpulley/policy/Router.java
+++ b/src/main/java/bitternpulley/policy/Router.java
@@ -96,6 +96,11 @@
   /** The list of servers, or a change to it, or the news that asking for it failed. */
   void members(ListKind kind, List<Member> entries, double now, Actions out);
 
+  /** An operator has let a server back in: nobody knows what it went through meanwhile. */
+  default void readmitted(Member server, double now, Actions out) {
+    members(ListKind.CHANGES, List.of(server), now, out);
+  }
+
   /**
    * Whether a query is turned away unseen since so many queries and parts, its own included, would be held: the
    * pause its client is advised, or empty where there is room.
--- a/src/main/java/bitternpulley/policy/State.java
+++ b/src/main/java/bitternpulley/policy/State.java
@@ -23,6 +23,7 @@
     double failures;
     int streak;
     boolean down;
+    boolean owed;
     double fullUntil = Double.NEGATIVE_INFINITY;
     double brokenAt = Double.NEGATIVE_INFINITY;
     double lastHeard = Double.NEGATIVE_INFINITY;
--- a/src/test/java/bitternpulley/PackagesTest.java
+++ b/src/test/java/bitternpulley/PackagesTest.java
@@ -23,7 +23,7 @@
   public Object[][] allowed() {
     return new Object[][] {
         {"policy", Set.of()}, {"net", Set.of()}, {"broker", Set.of("policy")}, {"config", Set.of("policy", "net")},
-        {"platform", Set.of("policy", "net", "broker", "config")},
+        {"admin", Set.of("net", "broker")}, {"platform", Set.of("policy", "net", "broker", "config")},
         {"opensearch", Set.of("policy", "net", "broker", "config")}, {"simhost", Set.of("policy", "config")}};
   }
 
@@ -49,7 +49,7 @@
   public void everyPackageIsListed() throws IOException {
     try (Stream<Path> files = Files.list(ROOT)) {
       List<String> packages = files.filter(Files::isDirectory).map(p -> p.getFileName().toString()).sorted().toList();
-      assertEquals(packages, List.of("broker", "config", "net", "opensearch", "platform", "policy", "simhost"));
+      assertEquals(packages, List.of("admin", "broker", "config", "net", "opensearch", "platform", "policy", "simhost"));
     }
   }
 }
--- a/src/test/java/bitternpulley/process/Deployment.java
+++ b/src/test/java/bitternpulley/process/Deployment.java
@@ -35,6 +35,7 @@
   final ConcurrentLinkedQueue<String> output = new ConcurrentLinkedQueue<>();
   final String listen;
   final String searchListen;
+  String admin;
   private ServerSocket discovery;
   private final List<Socket> watching = new CopyOnWriteArrayList<>();
   private final ObjectNode config = JSON.createObjectNode();
@@ -51,6 +52,7 @@
     discovery = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
     listen = "127.0.0.1:" + freePort();
     searchListen = "127.0.0.1:" + freePort();
+    admin = "127.0.0.1:" + freePort();
     StandIn.daemon(() -> serveDiscovery(discovery));
     config.put("name", "n0").put("listen", listen).put("discovery", "127.0.0.1:" + discovery.getLocalPort())
         .put("seed", "8c1f30d27a5be964");
@@ -118,7 +120,7 @@
     command.addAll(List.of("-cp", System.getProperty("java.class.path"), "bitternpulley.Main", "serve"));
     ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
     builder.environment().putAll(Map.of("LB_CONFIG", file.toString(), "LB_OPENSEARCH",
-        folder.resolve("opensearch.json").toString()));
+        folder.resolve("opensearch.json").toString(), "LB_ADMIN", admin, "TMPDIR", folder.toString()));
     process = builder.start();
     StandIn.daemon(() -> {
       try (BufferedReader lines = new BufferedReader(new InputStreamReader(process.getInputStream()))) {
@@ -205,6 +207,30 @@
     watching.clear();
   }
 
+  // --- Operators --------------------------------------------------------------------------------
+
+  /** What the door answers to a call, which is written in pieces and whose side is then ended. */
+  String order(String call) throws IOException {
+    try (Socket socket = connect(admin)) {
+      for (String piece : List.of(call.substring(0, 2), call.substring(2) + "\n")) {
+        socket.getOutputStream().write(piece.getBytes(StandardCharsets.UTF_8));
+      }
+      socket.shutdownOutput();
+      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    }
+  }
+
+  void mustOrder(String call) throws IOException {
+    String answer = order(call);
+    if (!answer.startsWith("200") || !answer.endsWith("\n")) {
+      throw new AssertionError(call + ": " + answer);
+    }
+  }
+
+  Path folder() {
+    return folder;
+  }
+
   // --- Clients ---------------------------------------------------------------------------------
 
   record Reply(int status, Map<String, String> headers, String body) {
--- /dev/null
+++ b/src/test/java/bitternpulley/process/OperatorsProcessTest.java
@@ -0,0 +1,111 @@
+package bitternpulley.process;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import bitternpulley.process.Deployment.Reply;
+import bitternpulley.process.StandIn.Act;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.Test;
+
+/** What operators do, against the real program. */
+public class OperatorsProcessTest extends ProcessTest {
+  private int readiness() throws IOException {
+    return Deployment.call(d.listen, "GET /-/ready HTTP/1.1\r\n\r\n", "").status();
+  }
+
+  /** Guards against callers that say nothing, or too much, and keep the others from being heard. */
+  @Test
+  public void theDoorAnswersWhateverOthersDoThere() throws IOException {
+    List<Socket> silent = new ArrayList<>();
+    try {
+      for (int i = 0; i < 40; i++) {
+        silent.add(Deployment.connect(d.admin));
+      }
+      assertTrue(d.order("health").startsWith("200"));
+      for (String bad : List.of("cordon nobody", "uncordon nobody", "cordon", "health now", "  ", "x".repeat(600))) {
+        assertTrue(d.order(bad).startsWith("400"), bad);
+      }
+    } finally {
+      for (Socket s : silent) {
+        s.close();
+      }
+    }
+  }
+
+  /** Guards against a server that is used while it is out, or left unused for good once it is let back in. */
+  @Test
+  public void aCordonedServerGetsNothingWhateverDiscoveryTells() throws IOException {
+    StandIn out = d.servers.get(1);
+    d.mustOrder("cordon s1");
+    d.mustOrder("cordon s1");
+    out.drainingSince = System.nanoTime();
+    int before = out.heads.size();
+    d.tell(out, "removed");
+    d.tell(out, "up");
+    d.tell(d.servers.get(4), "removed"); // once this is heeded, so was what came before
+    d.servers.get(3).act = (index, section) -> Act.ERROR;
+    Deployment.await("the removal is heeded", () -> status("w", 3) != 200);
+    for (int i = 0; i < 10; i++) {
+      assertEquals(status("c" + i, 0, 1), 200);
+    }
+    assertEquals(out.heads.size(), before);
+    out.drainingSince = 0;
+    d.mustOrder("uncordon s1");
+    Deployment.await("it is used again", () -> status("u", 0, 1) == 200 && out.heads.size() > before);
+  }
+
+  private int status(String id, int... sections) {
+    try {
+      return d.ask("slot-search", id + System.nanoTime(), sections).status();
+    } catch (IOException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  /** Guards against orders that end with the process, and against a file that keeps the program from starting. */
+  @Test
+  public void ordersOutliveTheProcessAndAFileThatCannotBeReadDoesNotEndIt() throws Exception {
+    d.mustOrder("cordon s1");
+    d.process.destroyForcibly().waitFor();
+    d.startAndAwaitReady();
+    d.servers.get(1).drainingSince = System.nanoTime();
+    for (int i = 0; i < 10; i++) {
+      assertEquals(status("k" + i, 0, 1), 200);
+    }
+    assertEquals(d.servers.get(1).heads.size(), 0);
+    Files.write(d.folder().resolve("bitternpulley-orders"), new byte[] {-1, 0, 7});
+    d.process.destroyForcibly().waitFor();
+    d.startAndAwaitReady();
+    Deployment.await("it is logged", () -> d.output.stream().anyMatch(l -> l.contains("orders cannot be used")));
+    d.servers.get(1).drainingSince = 0;
+    d.mustOrder("cordon s2");
+    assertEquals(Files.readString(d.folder().resolve("bitternpulley-orders")), "cordoned s2\n");
+  }
+
+  /** Guards against clients that are held while the aggregator is to be emptied, and against cut requests. */
+  @Test
+  public void aQuiescedAggregatorServesWhatComesAndKeepsNoConnection() throws IOException {
+    try (Socket idle = Deployment.connect(d.listen); Socket kept = Deployment.connect(d.listen)) {
+      idle.getOutputStream().write(Deployment.query("slot-search", "first", 4, 0).getBytes());
+      assertEquals(Deployment.reply(idle).status(), 200);
+      d.mustOrder("quiesce");
+      assertEquals(readiness(), 503);
+      kept.getOutputStream().write(Deployment.query("slot-search", "kept", 4, 0).getBytes());
+      Reply last = Deployment.reply(kept);
+      assertEquals(last.status(), 200);
+      assertEquals(last.headers().get("connection"), "close");
+      long since = System.nanoTime();
+      assertEquals(idle.getInputStream().read(), -1);
+      assertTrue(System.nanoTime() - since < 2e9, "long before the usual 5 s");
+      assertEquals(status("late", 3), 200);
+      assertTrue(d.order("health").startsWith("200"));
+      d.mustOrder("resume");
+      assertEquals(readiness(), 200);
+    }
+  }
+}
