--- a/src/main/java/bitternpulley/Aggregator.java
+++ b/src/main/java/bitternpulley/Aggregator.java
@@ -16,6 +16,7 @@
 import bitternpulley.net.HostPort;
 import bitternpulley.net.HttpClient;
 import bitternpulley.net.HttpServer;
+import bitternpulley.net.PassedListener;
 import bitternpulley.opensearch.SearchFront;
 import bitternpulley.opensearch.SearchServers;
 import bitternpulley.platform.Discovery;
@@ -65,8 +66,10 @@
     broker = new Broker(new Reducer(config.settings(), config.seed(), clock.now()), clock, loop::after);
     // A third of the descriptors is for the ways to the slot servers; a second front has half of all.
     int spare = (config.sockets() - RESERVE) / (searchConfig.isPresent() ? 2 : 1);
-    int links = spare / 3;
-    int clients = spare - links;
+    // During an upgrade two processes share the descriptors, and the clients, who hold a third at most.
+    boolean shared = config.operations().passedSocket();
+    int clients = shared ? (spare - RESERVE) / 2 : spare - spare / 3;
+    int links = shared ? clients / 2 : spare / 3;
     double connectTimeout = config.settings().limits().connectTimeout();
     servers = new SlotServers(loop, broker::submit, clock, config.wire(), connectTimeout, links);
     broker.add(servers);
@@ -113,7 +116,8 @@
       System.exit(BAD_CONFIGURATION);
       return;
     }
-    Runtime.getRuntime().addShutdownHook(new Thread(aggregator::drain, "drain"));
+    Signals.onEach("TERM", aggregator::drain);
+    Signals.onEach("INT", aggregator::drain);
     aggregator.loop.execute(() -> aggregator.serve(rehearsal));
   }
 
@@ -130,10 +134,21 @@
     told(config.known(), Router.ListKind.REMEMBERED);
     discovery.start();
     // The platform's front comes last: it is what says that the program is ready.
-    search.ifPresent(s -> listen(s.front()::listen, s.listen()));
-    listen(front::listen, config.listen());
+    boolean passed = config.operations().passedSocket();
+    if (!passed) {
+      search.ifPresent(s -> listen(s.front()::listen, s.listen()));
+      listen(front::listen, config.listen());
+    }
     new Rehearsal(config.settings(), loop).play(() -> {
-      HangupSignal.onEach(this::reload);
+      if (draining) {
+        return; // told to end before it was ready
+      }
+      Signals.onEach("HUP", this::reload);
+      if (passed) {
+        // Only now: what waits there meanwhile is for the process that is to be replaced.
+        search.ifPresent(s -> listen(at -> s.front().listen(at, true), s.listen()));
+        listen(at -> front.listen(PassedListener.inherited(loop)), config.listen());
+      }
       rehearsed = true;
       LOG.log(Level.INFO, config.name() + " is ready at " + config.listen());
       rehearsal.run();
@@ -200,13 +215,20 @@
     discovery.moveTo(fresh.discovery());
   }
 
-  /** Runs as the shutdown hook: the program ends when this returns. The JDK's own hook may end logging meanwhile. */
+  /** Runs off the loop's thread, and ends the program when nothing is owed any more. */
   private void drain() {
     loop.execute(() -> {
+      if (draining) {
+        return;
+      }
       LOG.log(Level.INFO, "draining");
       draining = true;
       front.drain();
       search.ifPresent(s -> s.front().drain());
+      if (config.operations().passedSocket()) {
+        // What comes from now on is for the process that takes over.
+        front.stopAccepting();
+      }
       loop.after(GRACE, () -> {
         front.stopListening();
         search.ifPresent(s -> s.front().stopListening());
@@ -218,6 +240,7 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
+    System.exit(0);
   }
 
   private void awaitIdle() {
--- a/src/main/java/bitternpulley/config/Configuration.java
+++ b/src/main/java/bitternpulley/config/Configuration.java
@@ -11,8 +11,11 @@
     String name, HostPort listen, HostPort discovery, long seed, int sockets, ServerList known, Settings settings,
     Wire wire, List<String> zones, Operations operations) {
 
-  /** Where operators call, and the folder that outlives the process; each may be missing. */
-  public record Operations(Optional<HostPort> admin, Optional<Path> folder) {}
+  /**
+   * Where operators call, and the folder that outlives the process; each may be missing. And whether clients come by a
+   * listening socket that is passed as descriptor 0.
+   */
+  public record Operations(Optional<HostPort> admin, Optional<Path> folder, boolean passedSocket) {}
 
   /** Figures of the wire to the slot servers: calls a connection, and ms after which an idle one is closed there. */
   public record Wire(int streams, double keepalive) {
--- a/src/main/java/bitternpulley/config/ConfigurationReader.java
+++ b/src/main/java/bitternpulley/config/ConfigurationReader.java
@@ -44,7 +44,8 @@
         seed(in), (int) sockets, list, SettingsReader.read(settings),
         new Configuration.Wire((int) streams, keepalive), zones,
         new Configuration.Operations(admin(environment, in),
-            Optional.ofNullable(environment.get("TMPDIR")).filter(f -> !f.isEmpty()).map(Path::of)));
+            Optional.ofNullable(environment.get("TMPDIR")).filter(f -> !f.isEmpty()).map(Path::of),
+            !environment.getOrDefault("LB_PASSED_SOCKET", "").isEmpty()));
   }
 
   /**
--- a/src/main/java/bitternpulley/net/Connection.java
+++ b/src/main/java/bitternpulley/net/Connection.java
@@ -5,6 +5,7 @@
 import java.lang.System.Logger.Level;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
+import java.nio.channels.AsynchronousByteChannel;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
 import java.util.ArrayDeque;
@@ -41,7 +42,12 @@
   private record Pending(ByteBuffer bytes, Runnable written) {}
 
   private final EventLoop loop;
-  private final AsynchronousSocketChannel channel;
+  private interface Ending {
+    void end() throws IOException;
+  }
+
+  private final AsynchronousByteChannel channel;
+  private final Ending output;
   private final ArrayDeque<Pending> writes = new ArrayDeque<>();
   private final ByteBuffer in = ByteBuffer.allocate(READ_BUFFER);
   private Owner owner;
@@ -55,9 +61,19 @@
   private long written;
   private long dropped;
 
-  Connection(EventLoop loop, AsynchronousSocketChannel channel) {
+  private Connection(EventLoop loop, AsynchronousByteChannel channel, Ending output) {
     this.loop = loop;
     this.channel = channel;
+    this.output = output;
+  }
+
+  /** A connection from a socket that was passed to the program. */
+  Connection(EventLoop loop, SelectedChannel channel) {
+    this(loop, channel, channel::shutdownOutput);
+  }
+
+  Connection(EventLoop loop, AsynchronousSocketChannel channel) {
+    this(loop, channel, channel::shutdownOutput);
     try {
       channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
     } catch (IOException e) {
@@ -214,7 +230,7 @@
   private void linger() {
     lingering = true;
     try {
-      channel.shutdownOutput();
+      output.end();
       loop.after(LINGER, this::close);
       read();
     } catch (IOException e) {
--- a/src/main/java/bitternpulley/net/HttpServer.java
+++ b/src/main/java/bitternpulley/net/HttpServer.java
@@ -3,9 +3,6 @@
 import java.io.IOException;
 import java.lang.System.Logger.Level;
 import java.nio.ByteBuffer;
-import java.nio.channels.AsynchronousServerSocketChannel;
-import java.nio.channels.AsynchronousSocketChannel;
-import java.nio.channels.CompletionHandler;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashSet;
 import java.util.Map;
@@ -66,7 +63,7 @@
   private final int mostConnections;
   private final Times times;
   private final Set<Session> sessions = new LinkedHashSet<>();
-  private AsynchronousServerSocketChannel listener;
+  private Listener listener;
   private boolean accepting;
   private boolean draining;
   private boolean quiesced;
@@ -84,10 +81,25 @@
 
   /** Begins to listen; the address that was bound is returned. */
   public HostPort listen(HostPort at) throws IOException {
-    listener = AsynchronousServerSocketChannel.open(loop.group()).bind(at.address(), BACKLOG);
+    return listen(at, false);
+  }
+
+  /** As above; where {@code shared}, another process that says so too may listen there at the same time. */
+  public HostPort listen(HostPort at, boolean shared) throws IOException {
+    AddressListener bound = new AddressListener(loop, at, BACKLOG, shared);
+    listen(bound);
+    return new HostPort(at.host(), bound.port());
+  }
+
+  /** Begins to take connections from a socket that was passed. */
+  public void listen(PassedListener passed) {
+    listen((Listener) passed);
+  }
+
+  private void listen(Listener from) {
+    listener = from;
     accept();
     loop.after(SWEEP, this::sweep);
-    return new HostPort(at.host(), ((java.net.InetSocketAddress) listener.getLocalAddress()).getPort());
   }
 
   private void accept() {
@@ -95,27 +107,17 @@
       return;
     }
     accepting = true;
-    listener.accept(null, new CompletionHandler<AsynchronousSocketChannel, Void>() {
-      @Override
-      public void completed(AsynchronousSocketChannel channel, Void nothing) {
-        loop.inTurn(() -> {
-          accepting = false;
-          Session session = new Session(channel);
-          sessions.add(session);
-          session.connection.start(session);
-          accept();
-        });
-      }
-
-      @Override
-      public void failed(Throwable e, Void nothing) {
-        loop.inTurn(() -> {
-          accepting = false;
-          if (listener.isOpen()) {
-            LOG.log(Level.WARNING, "accept failed: " + e);
-            loop.after(ACCEPT_PAUSE, HttpServer.this::accept);
-          }
-        });
+    listener.accept(connection -> {
+      accepting = false;
+      Session session = new Session(connection);
+      sessions.add(session);
+      connection.start(session);
+      accept();
+    }, e -> {
+      accepting = false;
+      if (listener.isOpen()) {
+        LOG.log(Level.WARNING, "accept failed: " + e);
+        loop.after(ACCEPT_PAUSE, this::accept);
       }
     });
   }
@@ -163,13 +165,16 @@
     quiescedAt = loop.now();
   }
 
-  /** Takes no more connections and ends those that are idle; the others end with their answers. */
-  public void stopListening() {
-    try {
+  /** Takes no more connections. */
+  public void stopAccepting() {
+    if (listener != null) {
       listener.close();
-    } catch (IOException e) {
-      LOG.log(Level.DEBUG, "closing the listener failed", e);
     }
+  }
+
+  /** Takes no more connections and ends those that are idle; the others end with their answers. */
+  public void stopListening() {
+    stopAccepting();
     for (Session s : Set.copyOf(sessions)) {
       if (s.idle()) {
         s.connection.close();
@@ -200,8 +205,8 @@
     /** When it was opened, its request begun or its last answer written. */
     private double since = loop.now();
 
-    Session(AsynchronousSocketChannel channel) {
-      connection = new Connection(loop, channel);
+    Session(Connection connection) {
+      this.connection = connection;
     }
 
     boolean idle() {
--- a/src/main/java/bitternpulley/net/LineServer.java
+++ b/src/main/java/bitternpulley/net/LineServer.java
@@ -3,9 +3,6 @@
 import java.io.IOException;
 import java.lang.System.Logger.Level;
 import java.nio.ByteBuffer;
-import java.nio.channels.AsynchronousServerSocketChannel;
-import java.nio.channels.AsynchronousSocketChannel;
-import java.nio.channels.CompletionHandler;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashSet;
 import java.util.Set;
@@ -33,7 +30,7 @@
   private final EventLoop loop;
   private final Handler handler;
   private final Set<Caller> callers = new LinkedHashSet<>();
-  private AsynchronousServerSocketChannel listener;
+  private Listener listener;
 
   public LineServer(EventLoop loop, Handler handler) {
     this.loop = loop;
@@ -42,28 +39,20 @@
 
   /** Begins to listen. */
   public void listen(HostPort at) throws IOException {
-    listener = AsynchronousServerSocketChannel.open(loop.group()).bind(at.address(), BACKLOG);
+    listener = new AddressListener(loop, at, BACKLOG, false);
     accept();
   }
 
   private void accept() {
-    listener.accept(null, new CompletionHandler<AsynchronousSocketChannel, Void>() {
-      @Override
-      public void completed(AsynchronousSocketChannel channel, Void nothing) {
-        loop.inTurn(() -> {
-          makeRoom();
-          Caller caller = new Caller(channel);
-          callers.add(caller);
-          caller.connection.start(caller);
-          accept();
-        });
-      }
-
-      @Override
-      public void failed(Throwable e, Void nothing) {
-        LOG.log(Level.WARNING, "accept failed: " + e);
-        loop.after(ACCEPT_PAUSE, LineServer.this::accept);
-      }
+    listener.accept(connection -> {
+      makeRoom();
+      Caller caller = new Caller(connection);
+      callers.add(caller);
+      connection.start(caller);
+      accept();
+    }, e -> {
+      LOG.log(Level.WARNING, "accept failed: " + e);
+      loop.after(ACCEPT_PAUSE, this::accept);
     });
   }
 
@@ -80,8 +69,8 @@
     private final StringBuilder line = new StringBuilder();
     private boolean asked;
 
-    Caller(AsynchronousSocketChannel channel) {
-      connection = new Connection(loop, channel);
+    Caller(Connection connection) {
+      this.connection = connection;
       loop.after(MOST_TIME, connection::close);
     }
 
--- /dev/null
+++ b/src/main/java/bitternpulley/net/PassedListener.java
@@ -0,0 +1,94 @@
+package bitternpulley.net;
+
+import java.io.IOException;
+import java.lang.System.Logger.Level;
+import java.nio.channels.Channel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.function.Consumer;
+
+/**
+ * Takes connections from the listening socket that was passed to the program as descriptor 0, and which other processes
+ * may hold as well. Java gives it as a selectable channel only, so a thread waits for it and all that comes from it.
+ */
+public final class PassedListener implements Listener {
+  private static final System.Logger LOG = System.getLogger(PassedListener.class.getName());
+
+  private final EventLoop loop;
+  private final Selector selector;
+  private final ServerSocketChannel channel;
+  private final SelectionKey key;
+  private volatile Consumer<Connection> taken;
+  private volatile Consumer<Throwable> failed;
+  private volatile boolean open = true;
+
+  private PassedListener(EventLoop loop, ServerSocketChannel channel) throws IOException {
+    this.loop = loop;
+    this.channel = channel;
+    selector = Selector.open();
+    channel.configureBlocking(false);
+    key = channel.register(selector, 0);
+    key.attach((Runnable) this::ready);
+    Thread thread = new Thread(this::run, "passed");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  /** The socket that was passed to this program. */
+  public static PassedListener inherited(EventLoop loop) throws IOException {
+    Channel inherited = System.inheritedChannel();
+    if (inherited instanceof ServerSocketChannel listening) {
+      return new PassedListener(loop, listening);
+    }
+    throw new IOException("descriptor 0 is no listening socket");
+  }
+
+  private void run() {
+    while (true) {
+      try {
+        selector.select(selected -> ((Runnable) selected.attachment()).run());
+      } catch (IOException | RuntimeException e) {
+        // Guards against one connection's fault ending the thread that waits for all.
+        LOG.log(Level.ERROR, "waiting for sockets failed", e);
+      }
+    }
+  }
+
+  @Override
+  public void accept(Consumer<Connection> taken, Consumer<Throwable> failed) {
+    this.taken = taken;
+    this.failed = failed;
+    key.interestOpsOr(SelectionKey.OP_ACCEPT);
+    selector.wakeup();
+  }
+
+  private void ready() {
+    SocketChannel accepted;
+    try {
+      accepted = open ? channel.accept() : null;
+      if (accepted == null) {
+        return; // another process took it, or is to take it
+      }
+      key.interestOpsAnd(0);
+      Connection connection = new Connection(loop, new SelectedChannel(accepted, selector));
+      loop.inTurn(() -> taken.accept(connection));
+    } catch (IOException e) {
+      key.interestOpsAnd(0);
+      loop.inTurn(() -> failed.accept(e));
+    }
+  }
+
+  @Override
+  public boolean isOpen() {
+    return open;
+  }
+
+  /** Never closes the channel: the JDK would point descriptors 0 to 2 at /dev/null then, and so end the log. */
+  @Override
+  public void close() {
+    open = false;
+    key.interestOpsAnd(0);
+  }
+}
--- a/src/main/java/bitternpulley/platform/SlotServers.java
+++ b/src/main/java/bitternpulley/platform/SlotServers.java
@@ -141,7 +141,7 @@
         least = l;
       }
     }
-    if (least != null && (least.calls.size() < sharedBy || all.size() >= MOST_TO_ONE || open >= mostLinks)) {
+    if (least != null && (least.calls.size() < sharedBy || all.size() >= mostToOne() || open >= mostLinks)) {
       return least;
     }
     if (open >= mostLinks) {
@@ -162,6 +162,11 @@
     }
   }
 
+  /** Guards against a few servers that take all connections and leave none to reach another by. */
+  private int mostToOne() {
+    return Math.max(1, Math.min(MOST_TO_ONE, mostLinks / Math.max(1, addresses.size())));
+  }
+
   private void closeOneIdle() {
     links.values().stream().flatMap(List::stream).filter(l -> l.calls.isEmpty())
         .min(Comparator.comparingDouble(l -> l.idleSince)).ifPresent(Link::close);
--- a/src/test/java/bitternpulley/process/Deployment.java
+++ b/src/test/java/bitternpulley/process/Deployment.java
@@ -42,6 +42,7 @@
   private final Path folder;
   private int revision = 41;
   Process process;
+  private final List<ProcessHandle> beside = new ArrayList<>();
 
   Deployment() throws IOException {
     folder = Files.createTempDirectory("bitternpulley");
@@ -111,23 +112,62 @@
 
   /** Starts the program with the flags of the deploy file's {@code run}, on the classes just compiled. */
   Deployment start() throws IOException {
-    Path file = folder.resolve("config.json");
-    Files.writeString(file, config.toString());
+    run(command(), Map.of());
+    return this;
+  }
+
+  /** Holds the clients' listening socket in a process of its own, which starts the program whenever asked to. */
+  Deployment holdSocket() throws IOException {
+    List<String> holder = new ArrayList<>(List.of("perl", "-MIO::Socket::INET", "-e", "$| = 1; $SIG{CHLD} = 'IGNORE'; "
+        + "$s = IO::Socket::INET->new(LocalAddr => shift, Listen => 512, ReuseAddr => 1) or die $!; "
+        + "while (<STDIN>) { chomp; $ENV{LB_ADMIN} = $_; "
+        + "if (!($p = fork)) { open(STDIN, '<&', $s) or die $!; exec @ARGV } print \"pid $p\\n\" }", listen));
+    holder.addAll(command());
+    run(holder, Map.of("LB_PASSED_SOCKET", "0"));
+    return this;
+  }
+
+  /** Starts the program on the socket that is held, and waits until it takes clients at this door. */
+  ProcessHandle startBeside() throws IOException {
+    admin = "127.0.0.1:" + freePort();
+    int before = beside.size();
+    process.getOutputStream().write((admin + "\n").getBytes());
+    process.getOutputStream().flush();
+    await("its id", () -> output.stream().filter(l -> l.startsWith("pid ")).count() > before);
+    String last = output.stream().filter(l -> l.startsWith("pid ")).reduce((a, b) -> b).orElseThrow();
+    beside.add(ProcessHandle.of(Long.parseLong(last.substring(4))).orElseThrow());
+    await("a yes", () -> {
+      try {
+        return order("health").startsWith("200");
+      } catch (IOException e) {
+        return false;
+      }
+    });
+    return beside.get(before);
+  }
+
+  private List<String> command() throws IOException {
     List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin/java").toString()));
     String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream().filter(l -> l.startsWith("run"))
         .findFirst().orElseThrow();
     Arrays.stream(run.split("[ \"]")).filter(w -> w.startsWith("-X")).forEach(command::add);
     command.addAll(List.of("-cp", System.getProperty("java.class.path"), "bitternpulley.Main", "serve"));
+    return command;
+  }
+
+  private void run(List<String> command, Map<String, String> more) throws IOException {
+    Path file = folder.resolve("config.json");
+    Files.writeString(file, config.toString());
     ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
     builder.environment().putAll(Map.of("LB_CONFIG", file.toString(), "LB_OPENSEARCH",
         folder.resolve("opensearch.json").toString(), "LB_ADMIN", admin, "TMPDIR", folder.toString()));
+    builder.environment().putAll(more);
     process = builder.start();
     StandIn.daemon(() -> {
       try (BufferedReader lines = new BufferedReader(new InputStreamReader(process.getInputStream()))) {
         lines.lines().forEach(output::add);
       }
     });
-    return this;
   }
 
   Deployment startAndAwaitReady() throws IOException {
@@ -293,6 +333,7 @@
     if (process != null) {
       process.destroyForcibly();
     }
+    beside.forEach(ProcessHandle::destroyForcibly);
     discovery.close();
     breakWatches();
     for (StandIn s : servers) {
--- a/src/test/java/bitternpulley/process/OperatorsProcessTest.java
+++ b/src/test/java/bitternpulley/process/OperatorsProcessTest.java
@@ -108,4 +108,54 @@
       assertEquals(readiness(), 200);
     }
   }
+
+  /** Guards against requests that an upgrade costs, orders that it forgets, and a log that ends with the socket. */
+  @Test
+  public void anUpgradeCutsNoRequestAndKeepsOrders() throws Exception {
+    d.close();
+    d = new Deployment().holdSocket();
+    ProcessHandle old = d.startBeside();
+    String oldDoor = d.admin;
+    d.mustOrder("cordon s1");
+    d.servers.get(1).drainingSince = System.nanoTime();
+    for (StandIn s : d.servers) {
+      s.act = (index, section) -> section == 2 ? Act.SILENT : Act.SERVE;
+    }
+    try (Socket held = Deployment.connect(d.listen); Socket idle = Deployment.connect(d.listen)) {
+      idle.getOutputStream().write(Deployment.query("slot-search", "idle", 4, 3).getBytes());
+      assertEquals(Deployment.reply(idle).headers().get("connection"), null);
+      held.getOutputStream().write(Deployment.query("slot-search", "held", 4.5, 2).getBytes());
+      Deployment.await("it is sent", () -> d.log.all().size() == 2);
+      d.startBeside();
+      d.mustOrder("cordon s4");
+      int before = d.servers.get(4).heads.size();
+      old.destroy();
+      Deployment.await("the old one takes nothing more", () -> {
+        try {
+          String now = d.admin;
+          d.admin = oldDoor;
+          String answer = d.order("health");
+          d.admin = now;
+          return answer.startsWith("400");
+        } catch (IOException e) {
+          throw new AssertionError(e);
+        }
+      });
+      for (StandIn s : d.servers) {
+        s.act = (index, section) -> Act.SERVE;
+      }
+      for (int i = 0; i < 10; i++) {
+        assertEquals(status("new" + i, 0, 1, 3), 200);
+      }
+      Reply last = Deployment.reply(held);
+      assertEquals(last.status(), 200);
+      assertEquals(last.headers().get("connection"), "close");
+      assertEquals(idle.getInputStream().read(), -1);
+      Deployment.await("the old one ends", () -> !old.isAlive());
+      assertEquals(status("after", 0, 3), 200);
+      assertEquals(d.servers.get(1).heads.size(), 0);
+      assertEquals(d.servers.get(4).heads.size(), before);
+      assertTrue(d.output.stream().anyMatch(l -> l.contains("draining")), "the log goes on");
+    }
+  }
 }
