--- a/src/main/java/bitternpulley/policy/Policy.java
+++ b/src/main/java/bitternpulley/policy/Policy.java
@@ -59,6 +59,11 @@
   /** An attempt is late after so many times its replica's expected time; a suspect's is late sooner. */
   private static final double LATE_FACTOR = 4;
   private static final double LATE_FACTOR_SUSPECT = 2;
+  /**
+   * Usual latencies after which a suspect's attempt is called off though no other server could take the part.
+   * Guards against a slow server, alone with its sections, that works on parts which nobody awaits any more.
+   */
+  private static final double ALONE = 16;
   /** A copy sets off so many usual latencies before T*, and while the budget still counts its query. */
   private static final double LANDING_ROOM = 3;
   /** Share of a step's weight that must be in before merely late parts are copied: all late alike is load. */
@@ -636,7 +641,9 @@
     double bestCost = 0;
     int bestRank = 0;
     for (Server s : fleet.holders(p.part.shard())) {
-      if (s.state != ServerState.LIVE || now < s.fullUntil || !coldAllows(s, p) || p.openAt(s)) {
+      // Guards against parts that use up their attempts within a moment, on a server that ends each at once.
+      boolean barred = s.down && now < s.trialAt || p.barred(s, now, FULL_FOR * usual());
+      if (s.state != ServerState.LIVE || barred || now < s.fullUntil || !coldAllows(s, p) || p.openAt(s)) {
         continue;
       }
       // Guards against a server let back in that is passed by for good, since a cold one looks slow.
@@ -687,7 +694,8 @@
         send(p, s);
       }
     } else if (p.query.kind.effect() != Settings.Effect.UNSAFE && budget(true)
-        && (suspect(p.lastOpen().server) || p.lastOpen().overtaken >= OVERTAKEN)) {
+        && (p.lastOpen().overtaken >= OVERTAKEN || suspect(p.lastOpen().server)
+        && (pick(p, false) != null || now >= p.lastOpen().sent + ALONE * usual()))) {
       p.attempts.forEach(o -> cancel(p, o));
     }
   }
--- a/src/main/java/bitternpulley/policy/State.java
+++ b/src/main/java/bitternpulley/policy/State.java
@@ -156,6 +156,12 @@
       return attempts.stream().anyMatch(a -> a.open && a.server == s);
     }
 
+    /** Whether it was turned away there and is to wait: so many gaps as the square of its attempts so far. */
+    boolean barred(Server s, double now, double gap) {
+      double wait = attempts.size() * attempts.size() * gap;
+      return attempts.stream().anyMatch(a -> a.server == s && a.neverRan && !a.open && now < a.sent + wait);
+    }
+
     boolean mayHaveRun() {
       return attempts.stream().anyMatch(a -> a.open || !a.neverRan);
     }
