--- a/src/main/java/bitternpulley/Aggregator.java
+++ b/src/main/java/bitternpulley/Aggregator.java
@@ -40,6 +40,9 @@
   /** Ms after SIGTERM for which connections are still taken: clients go on coming until the front has noticed. */
   private static final double GRACE = 450;
   private static final double DRAIN_CHECK = 20;
+  /** Ms for which a start waits for discovery's first word before it listens, and between looks. */
+  private static final double LIST_TIME = 500;
+  private static final double LIST_LOOK = 10;
   /** Exit status of a configuration that cannot be used. */
   private static final int BAD_CONFIGURATION = 2;
 
@@ -57,6 +60,7 @@
   private boolean draining;
   private boolean quiesced;
   private boolean rehearsed;
+  private boolean listed;
 
   /** The second front, where one is configured: its servers, its listener and the address of that. */
   private record SearchSide(SearchServers servers, HttpServer front, HostPort listen) {}
@@ -81,7 +85,10 @@
     door = new Door(loop, broker, new StandingFile(config.operations().folder()), () -> rehearsed && !draining,
         this::quiesce);
     discovery = new Discovery(loop, config.discovery(), config.zones(), config.known().revision(),
-        list -> told(list, list.complete() ? Router.ListKind.COMPLETE : Router.ListKind.CHANGES));
+        list -> {
+          listed = true;
+          told(list, list.complete() ? Router.ListKind.COMPLETE : Router.ListKind.CHANGES);
+        });
   }
 
   private SearchSide searchSide(SearchConfiguration c, double connectTimeout, int links, int clients) {
@@ -133,28 +140,45 @@
     }
     told(config.known(), Router.ListKind.REMEMBERED);
     discovery.start();
-    // The platform's front comes last: it is what says that the program is ready.
-    boolean passed = config.operations().passedSocket();
-    if (!passed) {
-      search.ifPresent(s -> listen(s.front()::listen, s.listen()));
-      listen(front::listen, config.listen());
-    }
-    new Rehearsal(config.settings(), loop).play(() -> {
-      if (draining) {
-        return; // told to end before it was ready
-      }
-      Signals.onEach("HUP", this::reload);
-      if (passed) {
-        // Only now: what waits there meanwhile is for the process that is to be replaced.
-        search.ifPresent(s -> listen(at -> s.front().listen(at, true), s.listen()));
-        listen(at -> front.listen(PassedListener.inherited(loop)), config.listen());
+    whenListed(clock.now() + LIST_TIME, () -> {
+      // The platform's front comes last: it is what says that the program is ready.
+      if (!config.operations().passedSocket()) {
+        search.ifPresent(s -> listen(s.front()::listen, s.listen()));
+        listen(front::listen, config.listen());
       }
-      rehearsed = true;
-      LOG.log(Level.INFO, config.name() + " is ready at " + config.listen());
-      rehearsal.run();
+      new Rehearsal(config.settings(), loop).play(() -> ready(rehearsal));
     });
   }
 
+  /**
+   * Guards against sends by a list as old as the restart while what discovery tells waits for its turn: clients come
+   * as soon as the program listens, ready or not, and leave it little of its part of a core. Discovery may be down: then
+   * what is known has to do.
+   */
+  private void whenListed(double until, Runnable then) {
+    if (listed || clock.now() >= until) {
+      then.run();
+    } else {
+      loop.after(LIST_LOOK, () -> whenListed(until, then));
+    }
+  }
+
+  private void ready(Runnable rehearsal) {
+    if (draining) {
+      return; // told to end before it was ready
+    }
+    Signals.onEach("HUP", this::reload);
+    if (config.operations().passedSocket()) {
+      // Only now: what waits there meanwhile is for the process that is to be replaced.
+      search.ifPresent(s -> listen(at -> s.front().listen(at, true), s.listen()));
+      listen(at -> front.listen(PassedListener.inherited(loop)), config.listen());
+    }
+    rehearsed = true;
+    LOG.log(Level.INFO, config.name() + " is ready at " + config.listen()
+        + (config.wire().dear() ? ", sparing connections" : ""));
+    rehearsal.run();
+  }
+
   /** What operators have ordered holds before the first list is heard, and so before the first send. */
   private void openDoor(HostPort at) {
     door.takeUp();
--- a/src/main/java/bitternpulley/config/Configuration.java
+++ b/src/main/java/bitternpulley/config/Configuration.java
@@ -17,8 +17,11 @@
    */
   public record Operations(Optional<HostPort> admin, Optional<Path> folder, boolean passedSocket) {}
 
-  /** Figures of the wire to the slot servers: calls a connection, and ms after which an idle one is closed there. */
-  public record Wire(int streams, double keepalive) {
+  /**
+   * Figures of the wire to the slot servers: calls a connection, ms after which an idle one is closed there, and whether
+   * new ones are charged for.
+   */
+  public record Wire(int streams, double keepalive, boolean dear) {
     /** Share of the servers' idle time after which we close a connection first, so that no call meets their close. */
     private static final double IDLE_SHARE = 0.8;
 
--- a/src/main/java/bitternpulley/config/ConfigurationReader.java
+++ b/src/main/java/bitternpulley/config/ConfigurationReader.java
@@ -42,7 +42,8 @@
     return new Configuration(value(environment, in, "LB_NAME", "name"),
         address(environment, in, "LB_LISTEN", "listen"), address(environment, in, "LB_DISCOVERY", "discovery"),
         seed(in), (int) sockets, list, SettingsReader.read(settings),
-        new Configuration.Wire((int) streams, keepalive), zones,
+        new Configuration.Wire((int) streams, keepalive,
+            named("settings", () -> Fields.figure(settings.path("costs"), "handshake", 0)) > 0), zones,
         new Configuration.Operations(admin(environment, in),
             Optional.ofNullable(environment.get("TMPDIR")).filter(f -> !f.isEmpty()).map(Path::of),
             !environment.getOrDefault("LB_PASSED_SOCKET", "").isEmpty()));
--- a/src/main/java/bitternpulley/config/SettingsReader.java
+++ b/src/main/java/bitternpulley/config/SettingsReader.java
@@ -94,7 +94,8 @@
 
   private static Settings.Prices prices(JsonNode c) {
     return new Settings.Prices(figure(c, "crossZone", 0), figure(c, "waste", 0), figure(c, "lateFail", 0),
-        figure(c, "connection", 0), figure(c, "probe", 0));
+        figure(c, "connection", 0), figure(c, "probe", 0),
+        figure(c, "handshake", 0));
   }
 
   private static Settings.Load load(JsonNode s) {
--- a/src/main/java/bitternpulley/platform/Discovery.java
+++ b/src/main/java/bitternpulley/platform/Discovery.java
@@ -16,6 +16,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Random;
 import java.util.function.Consumer;
 
 /** Watches discovery: one chunked answer that stays open, taken up again from the last revision when it ends. */
@@ -25,6 +26,8 @@
   /** Ms until a watch that has ended is taken up again, at first and at most. */
   private static final double GAP = 50;
   private static final double GAP_MOST = 1000;
+  /** Share of a wait that chance takes off: guards against a herd of aggregators that ask again in step. */
+  private static final double JITTER = 0.5;
   /**
    * Ms between looks at a watch, and the looks in a row without a byte after which it is taken up again. A line comes
    * every 2 s, and after 6 s all that discovery has to tell counts as told.
@@ -39,6 +42,7 @@
   private final Consumer<ServerList> told;
   private long revision;
   private double gap = GAP;
+  private final Random random = new Random();
   private Watch current;
   /** The watch at the address before, heard until the current one speaks; null once that has. */
   private Watch leaving;
@@ -168,7 +172,7 @@
     public void closed() {
       if (this == current) {
         current = new Watch();
-        loop.after(gap, current::open);
+        loop.after(gap * (1 - JITTER * random.nextDouble()), current::open);
         gap = Math.min(2 * gap, GAP_MOST);
       }
     }
--- a/src/main/java/bitternpulley/platform/Rehearsal.java
+++ b/src/main/java/bitternpulley/platform/Rehearsal.java
@@ -33,7 +33,7 @@
   private static final int QUERIES = 150;
   private static final double MOST_TIME = 600;
   /** Queries played before others on the loop get their turn. */
-  private static final int AT_ONCE = 10;
+  private static final int AT_ONCE = 5;
   /** Ms of the made-up clock between queries. */
   private static final double STEP = 20;
   private static final int MOST_PARTS = 8;
@@ -77,7 +77,8 @@
       playOne();
     }
     if (played < QUERIES && System.nanoTime() < end) {
-      loop.execute(() -> playSome(end, done));
+      // Guards against a watch that is not heard until all is played: what is executed in a turn belongs to that turn.
+      loop.after(0, () -> playSome(end, done));
     } else {
       done.run();
     }
--- a/src/main/java/bitternpulley/platform/SlotServers.java
+++ b/src/main/java/bitternpulley/platform/SlotServers.java
@@ -38,6 +38,8 @@
    */
   private static final int SHARED_BY = 1;
   private static final int MOST_TO_ONE = 8;
+  /** The same where handshakes are charged for, as where very many aggregators share the servers. */
+  private static final int SHARED_IF_DEAR = 8;
   /** Ms that a frame may take to come in whole once it has begun. */
   private static final double FRAME_TIME = 300;
   /** Ms between looks for connections that are idle for too long. */
@@ -59,7 +61,7 @@
 
   public SlotServers(EventLoop loop, Consumer<Event> events, Clock clock, Configuration.Wire wire, double connectTimeout,
       int mostLinks) {
-    this(loop, events, clock, wire, connectTimeout, mostLinks, SHARED_BY);
+    this(loop, events, clock, wire, connectTimeout, mostLinks, wire.dear() ? SHARED_IF_DEAR : SHARED_BY);
   }
 
   /** As above, where so many parts share a connection before another is opened. */
--- a/src/main/java/bitternpulley/policy/Policy.java
+++ b/src/main/java/bitternpulley/policy/Policy.java
@@ -621,7 +621,7 @@
       // Guards against connections that die silently while idle and swallow what is sent next, unless new
       // ones are what fails: then the open ones are kept.
       Way way = way(s.zone);
-      a.fresh = way.freshLoss <= FRESH_LOSS_MOST;
+      a.fresh = way.freshLoss <= FRESH_LOSS_MOST && settings.prices().handshake() <= 0;
       way.freshLoss *= 1 - FRESH_FORGET;
       if (a.fresh) {
         out.close(s.id);
--- a/src/main/java/bitternpulley/policy/Settings.java
+++ b/src/main/java/bitternpulley/policy/Settings.java
@@ -46,7 +46,8 @@
       boolean budgeted, double extraFloor, double extraShare, double extraWindow, double askWithin) {}
 
   /** What the site charges, in shares of the result. */
-  public record Prices(double crossZone, double waste, double lateFail, double connection, double probe) {}
+  public record Prices(double crossZone, double waste, double lateFail, double connection, double probe,
+      double handshake) {}
 
   /** Positions of the figures in a load report, or -1 where they are not told. */
   public record Load(int queue, int inWork, int busy, int latency, int rate, int errors) {}
--- a/src/test/java/bitternpulley/config/ConfigurationTest.java
+++ b/src/test/java/bitternpulley/config/ConfigurationTest.java
@@ -33,7 +33,8 @@
     assertEquals(c.name(), "n3");
     assertEquals(c.seed(), 255);
     assertEquals(c.sockets(), 512);
-    assertEquals(c.wire(), new Configuration.Wire(9, 1000));
+    assertEquals(c.wire(), new Configuration.Wire(9, 1000, false));
+    assertTrue(read(GOOD.replace("\"settings\":{", "\"settings\":{\"costs\":{\"handshake\":0.02},")).wire().dear());
     assertEquals(c.known().revision(), 4);
     assertEquals(c.known().entries().get(0).member(),
         new Router.Member("s-1", 1, 2, Router.ServerState.DRAINING, 7));
--- a/src/test/java/bitternpulley/platform/SlotServersTest.java
+++ b/src/test/java/bitternpulley/platform/SlotServersTest.java
@@ -46,7 +46,7 @@
   public void listen() throws IOException {
     events.clear();
     loop = new EventLoop();
-    servers = new SlotServers(loop, events::add, Clock.system(), new Configuration.Wire(100, 15_000), 5000, 10, 4);
+    servers = new SlotServers(loop, events::add, Clock.system(), new Configuration.Wire(100, 15_000, false), 5000, 10, 4);
     List<Request.Slice> slices = IntStream.range(0, 9).mapToObj(i -> new Request.Slice(i, 0.1, 0)).toList();
     request = new Request(1, servers, 0, 3000, false, Router.Terms.OF_CLASS, slices,
         new PlatformQuery("q", 0, 3000, false, null, "f", slices, null));
@@ -138,7 +138,7 @@
   /** Guards against a connection that ends right after an answer and takes another part along. */
   @Test
   public void asARuleAPartHasAConnectionOfItsOwn() throws Exception {
-    servers = new SlotServers(loop, events::add, Clock.system(), new Configuration.Wire(100, 15_000), 5000, 10);
+    servers = new SlotServers(loop, events::add, Clock.system(), new Configuration.Wire(100, 15_000, false), 5000, 10);
     loop.execute(() -> servers.address("s", new HostPort("127.0.0.1", server.getLocalPort())));
     start(0, 0);
     start(1, 0);
--- a/src/test/java/bitternpulley/policy/PolicyTest.java
+++ b/src/test/java/bitternpulley/policy/PolicyTest.java
@@ -400,6 +400,19 @@
     assertEquals(List.of("s0"), r.closed);
   }
 
+  /** Guards against servers worn out by the handshakes of very many instances, of which each has little to send. */
+  @Test
+  void whereHandshakesAreChargedForKeptConnectionsAreUsed() {
+    Settings s = Rig.settings(Rig.kind(Settings.Effect.SAFE, 1000, 3000, 0, 1, 0), true, FREE, 1);
+    Rig r = new Rig(new Settings(s.self(), s.instances(), s.zone(), s.tick(), s.listOnRequest(), s.marksRetry(),
+        s.classes(), s.tenants(), s.overShareWorth(), s.worthByWork(), s.layout(), s.limits(), s.rules(),
+        new Settings.Prices(0, 0, 0, 0, 0, 0.02), s.load())).servers();
+    serve(r, 1, 50);
+    r.to(r.now + 5000);
+    r.query(3, 3000, new int[] {0});
+    assertEquals(List.of(), r.closed);
+  }
+
   @Test
   void aClientThatLeftGetsNoAnswerWhenAnOutcomeComesWithIt() {
     Rig r = safe();
--- a/src/test/java/bitternpulley/process/Deployment.java
+++ b/src/test/java/bitternpulley/process/Deployment.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 
 /** The real program as a process, with stand-ins of ours for discovery and the slot servers, all on loopback. */
 final class Deployment implements AutoCloseable {
@@ -41,6 +42,8 @@
   private final ObjectNode config = JSON.createObjectNode();
   private final Path folder;
   private int revision = 41;
+  /** What each watch is told first, and when. */
+  volatile Supplier<ObjectNode> firstWord = () -> list(false, List.of(), "up");
   Process process;
   private final List<ProcessHandle> beside = new ArrayList<>();
 
@@ -99,7 +102,7 @@
     return s;
   }
 
-  private static ObjectNode list(boolean complete, List<StandIn> of, String phase) {
+  static ObjectNode list(boolean complete, List<StandIn> of, String phase) {
     ObjectNode list = JSON.createObjectNode().put("revision", 41).put("complete", complete);
     ArrayNode members = list.putArray("members");
     for (StandIn s : of) {
@@ -205,8 +208,10 @@
       Socket socket = at.accept();
       String target = StandIn.head(socket.getInputStream())[0];
       watches.add(target);
-      watching.add(socket);
       socket.getOutputStream().write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes());
+      String first = firstWord.get() + "\n";
+      socket.getOutputStream().write((Integer.toHexString(first.length()) + "\r\n" + first + "\r\n").getBytes());
+      watching.add(socket);
     }
   }
 
--- a/src/test/java/bitternpulley/process/PlatformProcessTest.java
+++ b/src/test/java/bitternpulley/process/PlatformProcessTest.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.testng.annotations.Test;
 
 /** The platform's protocol against the real program. */
@@ -281,6 +282,29 @@
     });
   }
 
+  /** Guards against sends by the list of long ago while what discovery tells at the start waits for its turn. */
+  @Test
+  public void nothingIsSentBeforeDiscoverysFirstWord() throws Exception {
+    d.close();
+    d = new Deployment();
+    d.firstWord = () -> {
+      LockSupport.parkNanos(200_000_000); // as an agent short of room
+      return Deployment.list(false, List.of(d.servers.get(1)), "draining").put("revision", 42);
+    };
+    d.start();
+    Deployment.await("an answer", () -> {
+      try {
+        return d.ask("slot-search", "first" + System.nanoTime(), 0, 1).status() == 200;
+      } catch (IOException e) {
+        return false; // it does not listen yet
+      }
+    });
+    for (int i = 0; i < 10; i++) {
+      assertEquals(d.ask("slot-search", "next" + i, 0, 1).status(), 200);
+    }
+    assertEquals(d.servers.get(1).heads.size(), 0);
+  }
+
   /** Guards against a watch that goes on in silence while what it should tell counts as told. */
   @Test
   public void aSilentWatchIsTakenUpAgain() {
