--- a/src/main/java/bitternpulley/policy/Policy.java
+++ b/src/main/java/bitternpulley/policy/Policy.java
@@ -642,7 +642,9 @@
     int bestRank = 0;
     for (Server s : fleet.holders(p.part.shard())) {
       // Guards against parts that use up their attempts within a moment, on a server that ends each at once.
-      boolean barred = s.down && now < s.trialAt || p.barred(s, now, FULL_FOR * usual());
+      boolean barred = s.down && now < s.trialAt || p.barred(s, now, FULL_FOR * usual())
+          || forSend && s.latency > SLOW_ALONE * usual()
+          && !s.room.takes(s.out.size(), canWait(p.query), now);
       if (s.state != ServerState.LIVE || barred || now < s.fullUntil || !coldAllows(s, p) || p.openAt(s)) {
         continue;
       }
@@ -662,6 +664,12 @@
     return best;
   }
 
+  /** A part that only serves an answer which is late, or one that may be given without it. */
+  private boolean canWait(QueryState q) {
+    boolean enough = q.in >= q.kind.leastShare() - ROUNDING || now < q.stepStart + LATE_FACTOR * usual();
+    return now >= q.aimAt || q.kind.mayAnswerInPart() && enough;
+  }
+
   private Way way(int zone) {
     while (ways.size() <= zone) {
       ways.add(new Way(firstLatency));
@@ -787,6 +795,7 @@
     }
     switch (e.outcome()) {
       case OK -> {
+        s.room.answered(a.sent, took <= a.part.query.kind.aim() / 2, s.out.size(), now);
         smooth(s, took);
         quick = took < quick ? quick == Double.POSITIVE_INFINITY ? took : quick + QUICK_FALL * (took - quick)
             : quick + QUICK_RISE * Math.min(took - quick, quick);
@@ -800,6 +809,7 @@
         s.lastHeard = now;
       }
       case CANCELLED, TIMEOUT -> {
+        s.room.left(a.sent);
         if (took > expected(s)) {
           smooth(s, took);
         }
@@ -810,6 +820,7 @@
         // Guards against queues that never drain: what a full one takes in is given up before its turn.
         // It is sound all the same: a longer pause would leave it idle while the others fill up in turn.
         s.fullUntil = now + FULL_FOR * usual();
+        s.room.full(s.out.size(), now);
       }
       case UNREACHABLE, RESET -> {
         boolean broken = e.outcome() == Outcome.RESET;
--- a/src/main/java/bitternpulley/policy/State.java
+++ b/src/main/java/bitternpulley/policy/State.java
@@ -31,6 +31,7 @@
     double trialAt;
     double trialGap;
     WindowCount coldWork;
+    final ServerRoom room = new ServerRoom();
     final Set<Attempt> out = new LinkedHashSet<>();
 
     /** Drops what was learned of an earlier process. */
@@ -40,6 +41,7 @@
       streak = 0;
       down = false;
       fullUntil = Double.NEGATIVE_INFINITY;
+      room.forget();
     }
   }
 
--- a/src/test/java/bitternpulley/policy/PolicyTest.java
+++ b/src/test/java/bitternpulley/policy/PolicyTest.java
@@ -329,6 +329,25 @@
     }
   }
 
+  /** Guards against a slow server's queue kept full by a rush after each refusal, so that none is answered in time. */
+  @Test
+  void aSlowServerThatWasFullGetsNoMoreThanItHasRoomFor() {
+    Rig r = new Rig(Rig.settings(Rig.kind(Settings.Effect.SAFE, 1000, 3000, 0, 1, 0), true, FREE, 1)).servers();
+    for (int i = 1; i < 40; i++) {
+      r.query(i, 3000, new int[] {i % 4 == 0 ? 0 : 1});
+      r.to(r.now + (i % 4 == 0 ? 300 : 10));
+      r.end(i * 10, 0, Router.Outcome.OK);
+    }
+    r.query(50, 3000, new int[] {0});
+    r.end(500, 0, Router.Outcome.FULL);
+    r.sends.clear();
+    r.to(r.now + 500);
+    for (int i = 51; i < 57; i++) {
+      r.query(i, 3000, new int[] {0});
+    }
+    assertEquals(1, r.sends.size(), r.sends.toString());
+  }
+
   /** Guards against a slow server, alone with its sections, that works on parts which nobody awaits any more. */
   @Test
   void aSuspectsAttemptIsLeftWhereNoOtherServerCouldTakeThePart() {
