--- a/src/main/java/bitternpulley/net/HttpServer.java
+++ b/src/main/java/bitternpulley/net/HttpServer.java
@@ -18,6 +18,12 @@
   private static final double SWEEP = 100;
   /** Ms for which a connection that says nothing, or not all, is spared when room is needed. */
   private static final double SPARED = 150;
+  /**
+   * Connections that have been answered and are kept beyond which each answer ends its own: a quarter of all, but not so
+   * few. Guards against clients that ask once and keep their connection, by which the others come to have none left.
+   */
+  private static final double CROWD = 0.25;
+  private static final int CROWD_LEAST = 16;
   /** Ms until accepting is tried again after it failed, as it does when descriptors run out. */
   private static final double ACCEPT_PAUSE = 50;
 
@@ -64,6 +70,7 @@
   private final Times times;
   private final Set<Session> sessions = new LinkedHashSet<>();
   private Listener listener;
+  private int answered;
   private boolean accepting;
   private boolean draining;
   private boolean quiesced;
@@ -154,6 +161,10 @@
     return least != null;
   }
 
+  private boolean crowded() {
+    return answered > Math.max(CROWD_LEAST, CROWD * mostConnections);
+  }
+
   /** From now on each answer ends its connection. */
   public void drain() {
     draining = true;
@@ -293,7 +304,7 @@
       // Least recently used first: an idle connection that must make room is the one longest unused.
       sessions.remove(this);
       sessions.add(this);
-      count++;
+      answered += count++ == 0 ? 1 : 0;
       call = new Call(this, head.keepAlive());
       try {
         handler.handle(new Request(head, body), call);
@@ -305,7 +316,7 @@
     }
 
     private void send(Response r, boolean keep) {
-      boolean stays = keep && !draining && !quiesced;
+      boolean stays = keep && !draining && !quiesced && !crowded();
       StringBuilder text = new StringBuilder("HTTP/1.1 ").append(r.status()).append(' ').append(reason(r.status()));
       r.headers().forEach((name, value) -> text.append("\r\n").append(name).append(": ").append(value));
       text.append("\r\nContent-Length: ").append(r.body().length);
@@ -334,6 +345,7 @@
     @Override
     public void closed() {
       sessions.remove(this);
+      answered -= count > 0 ? 1 : 0;
       release();
       if (call != null && !call.replied && call.gone != null) {
         call.gone.run();
--- a/src/test/java/bitternpulley/net/HttpServerTest.java
+++ b/src/test/java/bitternpulley/net/HttpServerTest.java
@@ -112,6 +112,30 @@
     }
   }
 
+  /** Guards against clients that ask once and keep their connection, by which the others come to have none left. */
+  @Test
+  public void whereManyKeepTheirConnectionsAnAnswerEndsItsOwn() throws IOException {
+    HttpServer server = new HttpServer(new EventLoop(), 100, 40, new HttpServer.Times(60_000, 60_000, 60_000), this);
+    at = server.listen(new HostPort("127.0.0.1", 0));
+    List<Socket> kept = new ArrayList<>();
+    try {
+      boolean ended = false;
+      for (int i = 0; i < 30 && !ended; i++) {
+        Socket socket = connect("GET / HTTP/1.1\r\n\r\n");
+        kept.add(socket);
+        assertEquals(firstLine(socket), "HTTP/1.1 200 OK");
+        String more = firstLine(socket);
+        ended = (more + firstLine(socket)).contains("Connection: close");
+      }
+      assertTrue(ended);
+      assertTrue(kept.size() > 10, "not where there are few");
+    } finally {
+      for (Socket s : kept) {
+        s.close();
+      }
+    }
+  }
+
   /** Guards against a client cut off, and its open request lost, since it sent many requests at once. */
   @Test
   public void manyRequestsAtOnceWaitUnread() throws IOException {
