--- a/src/main/java/bitternpulley/Aggregator.java
+++ b/src/main/java/bitternpulley/Aggregator.java
@@ -140,11 +140,18 @@
     }
     told(config.known(), Router.ListKind.REMEMBERED);
     discovery.start();
+    boolean bound = !config.operations().passedSocket();
+    if (bound) {
+      // Clients that come already wait to be taken: to refuse them, as a dead program's machine does, costs them more.
+      front.hold();
+      search.ifPresent(s -> s.front().hold());
+      search.ifPresent(s -> listen(s.front()::listen, s.listen()));
+      listen(front::listen, config.listen());
+    }
     whenListed(clock.now() + LIST_TIME, () -> {
-      // The platform's front comes last: it is what says that the program is ready.
-      if (!config.operations().passedSocket()) {
-        search.ifPresent(s -> listen(s.front()::listen, s.listen()));
-        listen(front::listen, config.listen());
+      if (bound) {
+        search.ifPresent(s -> s.front().release());
+        front.release();
       }
       new Rehearsal(config.settings(), loop).play(() -> ready(rehearsal));
     });
--- a/src/main/java/bitternpulley/net/HttpServer.java
+++ b/src/main/java/bitternpulley/net/HttpServer.java
@@ -71,6 +71,7 @@
   private final Set<Session> sessions = new LinkedHashSet<>();
   private Listener listener;
   private int answered;
+  private boolean holding;
   private boolean accepting;
   private boolean draining;
   private boolean quiesced;
@@ -86,6 +87,17 @@
     this.handler = handler;
   }
 
+  /** Has connections wait to be taken until {@link #release}. */
+  public void hold() {
+    holding = true;
+  }
+
+  /** Takes the connections that wait, and from now on all. */
+  public void release() {
+    holding = false;
+    accept();
+  }
+
   /** Begins to listen; the address that was bound is returned. */
   public HostPort listen(HostPort at) throws IOException {
     return listen(at, false);
@@ -110,7 +122,7 @@
   }
 
   private void accept() {
-    if (accepting || !listener.isOpen() || !room()) {
+    if (accepting || holding || !listener.isOpen() || !room()) {
       return;
     }
     accepting = true;
