--- a/src/main/java/bitternpulley/Aggregator.java
+++ b/src/main/java/bitternpulley/Aggregator.java
@@ -140,18 +140,13 @@
     }
     told(config.known(), Router.ListKind.REMEMBERED);
     discovery.start();
-    boolean bound = !config.operations().passedSocket();
-    if (bound) {
-      // Clients that come already wait to be taken: to refuse them, as a dead program's machine does, costs them more.
-      front.hold();
-      search.ifPresent(s -> s.front().hold());
-      search.ifPresent(s -> listen(s.front()::listen, s.listen()));
-      listen(front::listen, config.listen());
-    }
-    whenListed(clock.now() + LIST_TIME, () -> {
-      if (bound) {
-        search.ifPresent(s -> s.front().release());
-        front.release();
+    // Few aggregators: each is missed, so clients are served at once. Very many, short of discovery: a moment later.
+    boolean atOnce = !config.wire().dear() && !config.operations().passedSocket();
+    whenListed(atOnce ? clock.now() : clock.now() + LIST_TIME, () -> {
+      // The platform's front comes last: it is what says that the program is ready.
+      if (!config.operations().passedSocket()) {
+        search.ifPresent(s -> listen(s.front()::listen, s.listen()));
+        listen(front::listen, config.listen());
       }
       new Rehearsal(config.settings(), loop).play(() -> ready(rehearsal));
     });
--- a/src/main/java/bitternpulley/net/HttpServer.java
+++ b/src/main/java/bitternpulley/net/HttpServer.java
@@ -19,11 +19,12 @@
   /** Ms for which a connection that says nothing, or not all, is spared when room is needed. */
   private static final double SPARED = 150;
   /**
-   * Connections that have been answered and are kept beyond which each answer ends its own: a quarter of all, but not so
-   * few. Guards against clients that ask once and keep their connection, by which the others come to have none left.
+   * Answered connections left unused for so many ms beyond which each answer ends its own: a seventh of all, but not so
+   * few. Where clients come back to theirs, as in a rush, they stay. Guards against clients that ask once and keep their connection, by which the others come to have none left.
    */
-  private static final double CROWD = 0.25;
+  private static final double CROWD = 0.15;
   private static final int CROWD_LEAST = 16;
+  private static final double UNUSED = 300;
   /** Ms until accepting is tried again after it failed, as it does when descriptors run out. */
   private static final double ACCEPT_PAUSE = 50;
 
@@ -70,8 +71,7 @@
   private final Times times;
   private final Set<Session> sessions = new LinkedHashSet<>();
   private Listener listener;
-  private int answered;
-  private boolean holding;
+  private int unused;
   private boolean accepting;
   private boolean draining;
   private boolean quiesced;
@@ -87,17 +87,6 @@
     this.handler = handler;
   }
 
-  /** Has connections wait to be taken until {@link #release}. */
-  public void hold() {
-    holding = true;
-  }
-
-  /** Takes the connections that wait, and from now on all. */
-  public void release() {
-    holding = false;
-    accept();
-  }
-
   /** Begins to listen; the address that was bound is returned. */
   public HostPort listen(HostPort at) throws IOException {
     return listen(at, false);
@@ -122,7 +111,7 @@
   }
 
   private void accept() {
-    if (accepting || holding || !listener.isOpen() || !room()) {
+    if (accepting || !listener.isOpen() || !room()) {
       return;
     }
     accepting = true;
@@ -143,7 +132,9 @@
 
   /** Ends what takes too long; one look for all, in place of an alarm for each. */
   private void sweep() {
+    unused = 0;
     for (Session s : Set.copyOf(sessions)) {
+      unused += s.count > 0 && s.idle() && loop.now() - s.since > UNUSED ? 1 : 0;
       s.check();
     }
     accept();
@@ -174,7 +165,7 @@
   }
 
   private boolean crowded() {
-    return answered > Math.max(CROWD_LEAST, CROWD * mostConnections);
+    return unused > Math.max(CROWD_LEAST, CROWD * mostConnections);
   }
 
   /** From now on each answer ends its connection. */
@@ -316,7 +307,7 @@
       // Least recently used first: an idle connection that must make room is the one longest unused.
       sessions.remove(this);
       sessions.add(this);
-      answered += count++ == 0 ? 1 : 0;
+      count++;
       call = new Call(this, head.keepAlive());
       try {
         handler.handle(new Request(head, body), call);
@@ -357,7 +348,6 @@
     @Override
     public void closed() {
       sessions.remove(this);
-      answered -= count > 0 ? 1 : 0;
       release();
       if (call != null && !call.replied && call.gone != null) {
         call.gone.run();
--- a/src/test/java/bitternpulley/net/HttpServerTest.java
+++ b/src/test/java/bitternpulley/net/HttpServerTest.java
@@ -120,7 +120,10 @@
     List<Socket> kept = new ArrayList<>();
     try {
       boolean ended = false;
-      for (int i = 0; i < 30 && !ended; i++) {
+      while (!ended && kept.size() < 20_000) {
+        if (kept.size() > 30) {
+          kept.remove(20).close(); // the first ones stay unused
+        }
         Socket socket = connect("GET / HTTP/1.1\r\n\r\n");
         kept.add(socket);
         assertEquals(firstLine(socket), "HTTP/1.1 200 OK");
--- a/src/test/java/bitternpulley/process/PlatformProcessTest.java
+++ b/src/test/java/bitternpulley/process/PlatformProcessTest.java
@@ -287,6 +287,7 @@
   public void nothingIsSentBeforeDiscoverysFirstWord() throws Exception {
     d.close();
     d = new Deployment();
+    ((com.fasterxml.jackson.databind.node.ObjectNode) d.config().path("settings")).putObject("costs").put("handshake", 0.02);
     d.firstWord = () -> {
       LockSupport.parkNanos(200_000_000); // as an agent short of room
       return Deployment.list(false, List.of(d.servers.get(1)), "draining").put("revision", 42);
