--- a/src/test/java/bitternpulley/process/Deployment.java
+++ b/src/test/java/bitternpulley/process/Deployment.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.InputStreamReader;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -18,6 +19,8 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -28,6 +31,7 @@
 final class Deployment implements AutoCloseable {
   static final ObjectMapper JSON = new ObjectMapper();
   static final int CELLS = 6;
+  private static final Set<Integer> GIVEN = ConcurrentHashMap.newKeySet();
   private static final long PATIENCE = TimeUnit.SECONDS.toNanos(30);
 
   final List<StandIn> servers = new ArrayList<>();
@@ -76,9 +80,23 @@
     return config;
   }
 
+  /**
+   * A port free on all hosts of the stand-ins and the program. Guards against verdicts that change from run to run: one
+   * of the system's own range could be taken meanwhile, by a stand-in of any port or by the way out of a connection.
+   */
   private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return socket.getLocalPort();
+    while (true) {
+      int port = 15_000 + (int) (Math.random() * 15_000);
+      try {
+        for (int i = 0; i <= CELLS; i++) {
+          new ServerSocket(port, 1, InetAddress.getByName(i == 0 ? "127.0.0.1" : "127.0.1." + i)).close();
+        }
+        if (GIVEN.add(port)) {
+          return port;
+        }
+      } catch (BindException e) {
+        // another one, then
+      }
     }
   }
 
