--- a/src/main/java/bitternpulley/config/ConfigurationReader.java
+++ b/src/main/java/bitternpulley/config/ConfigurationReader.java
@@ -14,6 +14,12 @@
 
 /** Reads the configuration file that LB_CONFIG names; the other variables go before what it says. */
 public final class ConfigurationReader {
+  /**
+   * Ms by which a turn of ours comes late, as alarms ring on a grid and a part of a core is shared. Guards against answers
+   * that leave in time and arrive a hair after their aim.
+   */
+  private static final double LEAST_TICK = 4;
+
   private ConfigurationReader() {}
 
   /** Reads all; throws ConfigException with the faulty variable or key. */
@@ -41,7 +47,7 @@
     }
     return new Configuration(value(environment, in, "LB_NAME", "name"),
         address(environment, in, "LB_LISTEN", "listen"), address(environment, in, "LB_DISCOVERY", "discovery"),
-        seed(in), (int) sockets, list, SettingsReader.read(settings),
+        seed(in), (int) sockets, list, SettingsReader.read(settings).withTickOfAtLeast(LEAST_TICK),
         new Configuration.Wire((int) streams, keepalive,
             named("settings", () -> Fields.figure(settings.path("costs"), "handshake", 0)) > 0), zones,
         new Configuration.Operations(admin(environment, in),
--- a/src/main/java/bitternpulley/platform/SlotServers.java
+++ b/src/main/java/bitternpulley/platform/SlotServers.java
@@ -22,6 +22,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 
@@ -146,10 +147,7 @@
     if (least != null && (least.calls.size() < sharedBy || all.size() >= mostToOne() || open >= mostLinks)) {
       return least;
     }
-    if (open >= mostLinks) {
-      closeOneIdle();
-    }
-    if (open >= mostLinks) {
+    if (open >= mostLinks && !closeOneIdle()) {
       LOG.log(Level.WARNING, "no descriptor to spare for another connection to " + server);
       return null;
     }
@@ -169,9 +167,12 @@
     return Math.max(1, Math.min(MOST_TO_ONE, mostLinks / Math.max(1, addresses.size())));
   }
 
-  private void closeOneIdle() {
-    links.values().stream().flatMap(List::stream).filter(l -> l.calls.isEmpty())
-        .min(Comparator.comparingDouble(l -> l.idleSince)).ifPresent(Link::close);
+  /** Whether one was there to make room; its descriptor is free at once, before its end is told. */
+  private boolean closeOneIdle() {
+    Optional<Link> idle = links.values().stream().flatMap(List::stream).filter(l -> l.calls.isEmpty())
+        .min(Comparator.comparingDouble(l -> l.idleSince));
+    idle.ifPresent(Link::close);
+    return idle.isPresent();
   }
 
   @Override
@@ -224,6 +225,7 @@
     private int frames;
     private long heard;
     private boolean left;
+    private boolean released;
     private double idleSince;
 
     Link(String server, HostPort at) {
@@ -303,6 +305,16 @@
     void close() {
       leave();
       connection.close();
+      release();
+    }
+
+    /**
+     * Its descriptor is free from the close on. Guards against a server that counts as down since the end of the
+     * connection that made room for one to it was not told yet.
+     */
+    private void release() {
+      open -= released ? 0 : 1;
+      released = true;
     }
 
     /** Nothing new goes over this connection. */
@@ -398,7 +410,7 @@
 
     @Override
     public void closed() {
-      open--;
+      release();
       over = true;
       leave();
       Map<AttemptId, Call> left = new LinkedHashMap<>(calls);
--- a/src/main/java/bitternpulley/policy/Policy.java
+++ b/src/main/java/bitternpulley/policy/Policy.java
@@ -126,12 +126,10 @@
   /** Ms a discovery call waits after an error, at first and at most. */
   private static final double WATCH_GAP = 500;
   private static final double WATCH_GAP_MOST = 4000;
-  /** Work a warm server is sure to do, in ms per ms: one and a half cores, since cores are not told. */
-  private static final double SURE_CORES = 1.5;
-  /** Times a quick answer that a part's work counts as, and how fast the figure falls and rises. */
-  private static final double QUICK_ROOM = 2;
-  private static final double QUICK_FALL = 0.1;
-  private static final double QUICK_RISE = 0.01;
+  /** Work a warm server is sure to do, in ms per ms: a little under two cores, since cores are not told. */
+  private static final double SURE_CORES = 1.8;
+  /** Share of a cold server's budget for parts that can wait. */
+  private static final double COLD_LOW = 0.7;
   /** Instances let to a cold server for each that has a part for it just then: most have none. */
   private static final double TURN_MISSES = 1.5;
 
@@ -156,8 +154,7 @@
   private final double firstLatency;
   private double usual;
   private double window;
-  /** About the time that one answer in ten stays below. */
-  private double quick = Double.POSITIVE_INFINITY;
+  private final WorkEstimate estimate = new WorkEstimate();
   /** Parts out that are not late: what a silent server sits on says nothing of the others' load. */
   private int partsOut;
   private boolean freed;
@@ -628,6 +625,7 @@
       }
     }
     s.owed = false;
+    a.alone = s.out.isEmpty() && warmth(s) >= 1 && s.latency <= SLOW_ALONE * usual();
     s.out.add(a);
     partsOut++;
     s.coldWork.add(now, work(p));
@@ -664,10 +662,16 @@
     return best;
   }
 
-  /** A part that only serves an answer which is late, or one that may be given without it. */
+  /** A part that only serves a late answer, or one that may be given though all that is unsent stays so. */
   private boolean canWait(QueryState q) {
-    boolean enough = q.in >= q.kind.leastShare() - ROUNDING || now < q.stepStart + LATE_FACTOR * usual();
-    return now >= q.aimAt || q.kind.mayAnswerInPart() && enough;
+    if (now >= q.aimAt || !q.kind.mayAnswerInPart() || now < q.stepStart + LATE_FACTOR * usual()) {
+      return now >= q.aimAt || q.kind.mayAnswerInPart();
+    }
+    double due = 0;
+    for (PartState p : q.parts) {
+      due += p.in || p.openCount > 0 ? p.part.weight() : 0;
+    }
+    return due >= q.kind.leastShare() - ROUNDING;
   }
 
   private Way way(int zone) {
@@ -797,8 +801,7 @@
       case OK -> {
         s.room.answered(a.sent, took <= a.part.query.kind.aim() / 2, s.out.size(), now);
         smooth(s, took);
-        quick = took < quick ? quick == Double.POSITIVE_INFINITY ? took : quick + QUICK_FALL * (took - quick)
-            : quick + QUICK_RISE * Math.min(took - quick, quick);
+        estimate.answered(took, a.alone);
         way(s.zone).lost *= a.late ? 1 : 1 - WAY_LOSS;
         s.failures *= 1 - FAILURE_SMOOTHING;
         // Back from refusals: whatever the list says, the process is young.
@@ -933,7 +936,8 @@
     double sent = s.coldWork.sum(now);
     long turns = Math.max(1, (long) Math.ceil(work(p) / share / TURN_MISSES));
     long turn = (long) (Math.max(0, now - s.coldSince) / rules.tipWindow());
-    return sent + work(p) <= share || sent == 0 && (settings.self() + turn) % turns == 0;
+    return sent + work(p) <= share * (canWait(p.query) ? COLD_LOW : 1)
+        || sent == 0 && (settings.self() + turn) % turns == 0;
   }
 
   /** The share of its capacity that a server is sure to have, by the time since its start. */
@@ -942,9 +946,9 @@
     return age >= rules.coldTime() ? 1 : rules.coldFrom() + (1 - rules.coldFrom()) * age / rules.coldTime();
   }
 
-  /** The work of a part: as hinted, else what a quick answer takes, with room for chance. */
+  /** The work of a part: as hinted, else by what answers take. */
   private double work(PartState p) {
-    return p.part.work() > 0 ? p.part.work() : Math.min(usual(), quick * QUICK_ROOM);
+    return p.part.work() > 0 ? p.part.work() : estimate.work(usual());
   }
 
   // --- Alarms and ends ---------------------------------------------------------------------------
--- a/src/main/java/bitternpulley/policy/ServerRoom.java
+++ b/src/main/java/bitternpulley/policy/ServerRoom.java
@@ -30,7 +30,8 @@
     while (!calledOff.isEmpty() && calledOff.peek() < now - FORGET) {
       calledOff.poll();
     }
-    return out + calledOff.size() < (canWait ? Math.max(LEAST, LOW_SHARE * room) : room);
+    // Guards against a server left idle till the last part called off is forgotten, as nothing later can clear it.
+    return out == 0 && !canWait || out + calledOff.size() < (canWait ? LOW_SHARE * (room - 1) : room);
   }
 
   /** Turned away since the queue is full, with so many others out. */
--- a/src/main/java/bitternpulley/policy/Settings.java
+++ b/src/main/java/bitternpulley/policy/Settings.java
@@ -8,6 +8,12 @@
     List<QueryClass> classes, List<Tenant> tenants, double overShareWorth, boolean worthByWork,
     Layout layout, Limits limits, Rules rules, Prices prices, Load load) {
 
+  /** The same for a program that deals with what has come in no more often than so. */
+  public Settings withTickOfAtLeast(double least) {
+    return new Settings(self, instances, zone, Math.max(tick, least), listOnRequest, marksRetry, classes, tenants,
+        overShareWorth, worthByWork, layout, limits, rules, prices, load);
+  }
+
   /** What a class lets happen to a part that may have run before. */
   public enum Effect { SAFE, KEYED, UNSAFE }
 
--- a/src/main/java/bitternpulley/policy/State.java
+++ b/src/main/java/bitternpulley/policy/State.java
@@ -115,6 +115,7 @@
     boolean neverRan;
     boolean fresh;
     boolean late;
+    boolean alone;
     int overtaken;
 
     Attempt(PartState part, Server server, int number, double sent, double expected) {
--- a/src/test/java/bitternpulley/config/ConfigurationTest.java
+++ b/src/test/java/bitternpulley/config/ConfigurationTest.java
@@ -33,6 +33,7 @@
     assertEquals(c.name(), "n3");
     assertEquals(c.seed(), 255);
     assertEquals(c.sockets(), 512);
+    assertEquals(c.settings().tick(), 4.0, "room for answers that leave late");
     assertEquals(c.wire(), new Configuration.Wire(9, 1000, false));
     assertTrue(read(GOOD.replace("\"settings\":{", "\"settings\":{\"costs\":{\"handshake\":0.02},")).wire().dear());
     assertEquals(c.known().revision(), 4);
