--- a/src/main/java/bitternpulley/policy/Policy.java
+++ b/src/main/java/bitternpulley/policy/Policy.java
@@ -82,6 +82,7 @@
   private static final double WINDOW_LOSS = 0.02;
   /** Usual latencies above which a server's own tells of itself, not of the load. */
   private static final double SLOW_ALONE = 3;
+  private static final double SLOW_STILL = 1.5;
   /** Expected times that must fit before the aim: a query waits for the last of its parts. */
   private static final double TAIL = 1.5;
   /** Average latencies that a refused client is advised to stay away. */
@@ -625,7 +626,7 @@
       }
     }
     s.owed = false;
-    a.alone = s.out.isEmpty() && warmth(s) >= 1 && s.latency <= SLOW_ALONE * usual();
+    a.alone = s.out.isEmpty() && warmth(s) >= 1 && !s.slow;
     s.out.add(a);
     partsOut++;
     s.coldWork.add(now, work(p));
@@ -641,8 +642,7 @@
     for (Server s : fleet.holders(p.part.shard())) {
       // Guards against parts that use up their attempts within a moment, on a server that ends each at once.
       boolean barred = s.down && now < s.trialAt || p.barred(s, now, FULL_FOR * usual())
-          || forSend && s.latency > SLOW_ALONE * usual()
-          && !s.room.takes(s.out.size(), canWait(p.query), now);
+          || forSend && s.slow && !s.room.takes(s.out.size(), canWait(p.query), now);
       if (s.state != ServerState.LIVE || barred || now < s.fullUntil || !coldAllows(s, p) || p.openAt(s)) {
         continue;
       }
@@ -799,7 +799,7 @@
     }
     switch (e.outcome()) {
       case OK -> {
-        s.room.answered(a.sent, took <= a.part.query.kind.aim() / 2, s.out.size(), now);
+        s.room.answered(a.sent, took <= TIMELY_SHARE * a.part.query.kind.aim(), s.out.size(), now);
         smooth(s, took);
         estimate.answered(took, a.alone);
         way(s.zone).lost *= a.late ? 1 : 1 - WAY_LOSS;
@@ -846,6 +846,7 @@
     s.latency = s.latency == 0 ? way.latency : s.latency;
     s.latency += SMOOTHING * (took - s.latency);
     smooth(way, took);
+    s.slow = s.latency > (s.slow ? SLOW_STILL : SLOW_ALONE) * usual();
   }
 
   /** A single outlier hardly moves a zone's figure: it is the server's or the query's own. */
--- a/src/main/java/bitternpulley/policy/State.java
+++ b/src/main/java/bitternpulley/policy/State.java
@@ -23,6 +23,8 @@
     double failures;
     int streak;
     boolean down;
+    /** Slow alone: its queue is kept short until it is nearly as quick as the others. */
+    boolean slow;
     boolean owed;
     double fullUntil = Double.NEGATIVE_INFINITY;
     double brokenAt = Double.NEGATIVE_INFINITY;
@@ -40,6 +42,7 @@
       failures = 0;
       streak = 0;
       down = false;
+      slow = false;
       fullUntil = Double.NEGATIVE_INFINITY;
       room.forget();
     }
--- a/src/test/java/bitternpulley/policy/PolicyTest.java
+++ b/src/test/java/bitternpulley/policy/PolicyTest.java
@@ -301,6 +301,27 @@
     assertEquals(2, r.sends.stream().filter(s -> s.server().equals("s0")).count(), "not three, as above");
   }
 
+  /** Guards against a rush on a server that seems quick for a moment, since its queue was kept short. */
+  @Test
+  void aServerSlowAloneKeepsItsShortQueueUntilItIsNearlyAsQuickAsTheOthers() {
+    Rig r = new Rig(Rig.settings(Rig.kind(Settings.Effect.SAFE, 1000, 3000, 0.3, 1, 0), false, FREE, 1)).servers();
+    for (int i = 0; i < 30; i++) {
+      r.query(i, 3000, new int[] {0, 1, 2, 3});
+      r.to(r.now + 100);
+      for (int p = 1; p < 4; p++) {
+        r.end(i * 10 + p, 0, Router.Outcome.OK);
+      }
+      r.to(r.now + (i < 20 ? 400 : 100));
+      r.end(i * 10, 0, Router.Outcome.OK);
+    }
+    r.sends.clear();
+    for (int i = 0; i < 20; i++) {
+      r.query(100 + i, 3000, new int[] {0});
+    }
+    // Its last ten answers took 200 ms, so that it is below 3 times the others' 100, but not below 1.5 times.
+    assertTrue(r.sends.size() < 7, r.sends.size() + " parts at once");
+  }
+
   @Test
   void aRefusedConnectionMakesAServerSuspectUntilATrialSucceeds() {
     Rig r = safe();
