--- a/src/main/java/bitternpulley/Aggregator.java
+++ b/src/main/java/bitternpulley/Aggregator.java
@@ -174,6 +174,11 @@
       // Only now: what waits there meanwhile is for the process that is to be replaced.
       search.ifPresent(s -> listen(at -> s.front().listen(at, true), s.listen()));
       listen(at -> front.listen(PassedListener.inherited(loop)), config.listen());
+      // Whether one is being replaced is not told; if so, what it has taken till its grace ends is past its deadline then.
+      broker.submit(new Event.Beside(Router.Beside.PREDECESSOR));
+      double deadline = config.settings().classes().stream().mapToDouble(c -> c.deadline()).max().orElse(0);
+      loop.after(GRACE + deadline,
+          () -> broker.submit(new Event.Beside(draining ? Router.Beside.SUCCESSOR : Router.Beside.NONE)));
     }
     rehearsed = true;
     LOG.log(Level.INFO, config.name() + " is ready at " + config.listen()
@@ -254,6 +259,7 @@
       if (config.operations().passedSocket()) {
         // What comes from now on is for the process that takes over.
         front.stopAccepting();
+        broker.submit(new Event.Beside(Router.Beside.SUCCESSOR));
       }
       loop.after(GRACE, () -> {
         front.stopListening();
--- a/src/main/java/bitternpulley/broker/Event.java
+++ b/src/main/java/bitternpulley/broker/Event.java
@@ -35,6 +35,9 @@
   /** What now stands of the operators' orders, as it is kept. */
   record Stands(Standing standing) implements Event {}
 
+  /** Another process of this aggregator runs at the same time, or none does any more. */
+  record Beside(Router.Beside other) implements Event {}
+
   /** An alarm that the module set is due. */
   record Alarm(String token) implements Event {}
 }
--- a/src/main/java/bitternpulley/broker/Reducer.java
+++ b/src/main/java/bitternpulley/broker/Reducer.java
@@ -139,6 +139,8 @@
       if (out != null) {
         giveUp(out, Router.Outcome.TIMEOUT);
       }
+    } else if (event instanceof Event.Beside e) {
+      router.beside(e.other());
     } else if (event instanceof Event.Alarm e) {
       router.alarm(e.token(), now, recorder);
     }
--- a/src/main/java/bitternpulley/policy/Policy.java
+++ b/src/main/java/bitternpulley/policy/Policy.java
@@ -131,6 +131,8 @@
   private static final double SURE_CORES = 1.8;
   /** Share of a cold server's budget for parts that can wait. */
   private static final double COLD_LOW = 0.7;
+  /** Share of all limits that is for a process whose successor has taken over. */
+  private static final double LEAVING_SHARE = 0.2;
   /** Instances let to a cold server for each that has a part for it just then: most have none. */
   private static final double TURN_MISSES = 1.5;
 
@@ -160,6 +162,7 @@
   private int partsOut;
   private boolean freed;
   private double watchGap = WATCH_GAP;
+  private double share = 1;
   private double now;
   private Actions out;
 
@@ -233,9 +236,14 @@
 
   // --- A query and its parts arrive --------------------------------------------------------------
 
+  @Override
+  public void beside(Beside other) {
+    share = other == Beside.NONE ? 1 : other == Beside.SUCCESSOR ? LEAVING_SHARE : 1 - LEAVING_SHARE;
+  }
+
   @Override
   public OptionalDouble turnedAway(int held) {
-    return held <= settings.limits().maxOpen() ? OptionalDouble.empty() : OptionalDouble.of(advice());
+    return held <= share * settings.limits().maxOpen() ? OptionalDouble.empty() : OptionalDouble.of(advice());
   }
 
   @Override
@@ -334,7 +342,7 @@
       }
     }
     int open = queries.size() + parts.size();
-    for (int i = order.size() - 1; i >= 0 && open > OPEN_SHARE * settings.limits().maxOpen(); i--) {
+    for (int i = order.size() - 1; i >= 0 && open > OPEN_SHARE * share * settings.limits().maxOpen(); i--) {
       if (held.contains(order.get(i))) {
         open -= order.get(i).parts.size() + 1;
         giveUp(order.get(i));
@@ -664,14 +672,9 @@
 
   /** A part that only serves a late answer, or one that may be given though all that is unsent stays so. */
   private boolean canWait(QueryState q) {
-    if (now >= q.aimAt || !q.kind.mayAnswerInPart() || now < q.stepStart + LATE_FACTOR * usual()) {
-      return now >= q.aimAt || q.kind.mayAnswerInPart();
-    }
-    double due = 0;
-    for (PartState p : q.parts) {
-      due += p.in || p.openCount > 0 ? p.part.weight() : 0;
-    }
-    return due >= q.kind.leastShare() - ROUNDING;
+    boolean early = now < q.stepStart + LATE_FACTOR * usual();
+    boolean spared = q.kind.mayAnswerInPart() && (early || q.due() >= q.kind.leastShare() - ROUNDING);
+    return now >= q.aimAt || spared;
   }
 
   private Way way(int zone) {
@@ -837,7 +840,6 @@
         }
         s.brokenAt = broken ? now : s.brokenAt;
       }
-      default -> { }
     }
   }
 
@@ -933,11 +935,11 @@
     if (warm >= 1 || rules.tipMultiple() <= 0) {
       return true;
     }
-    double share = rules.tipMultiple() * warm * SURE_CORES * rules.tipWindow() / settings.instances();
+    double mine = share * rules.tipMultiple() * warm * SURE_CORES * rules.tipWindow() / settings.instances();
     double sent = s.coldWork.sum(now);
-    long turns = Math.max(1, (long) Math.ceil(work(p) / share / TURN_MISSES));
+    long turns = Math.max(1, (long) Math.ceil(work(p) / mine / TURN_MISSES));
     long turn = (long) (Math.max(0, now - s.coldSince) / rules.tipWindow());
-    return sent + work(p) <= share * (canWait(p.query) ? COLD_LOW : 1)
+    return sent + work(p) <= mine * (canWait(p.query) ? COLD_LOW : 1)
         || sent == 0 && (settings.self() + turn) % turns == 0;
   }
 
--- a/src/main/java/bitternpulley/policy/Router.java
+++ b/src/main/java/bitternpulley/policy/Router.java
@@ -25,6 +25,9 @@
     }
   }
 
+  /** Which other process of the same instance runs at the same time, with which this one shares all limits. */
+  enum Beside { NONE, PREDECESSOR, SUCCESSOR }
+
   /** What discovery says of a server. */
   enum ServerState { LIVE, DRAINING, GONE }
 
@@ -101,6 +104,9 @@
     members(ListKind.CHANGES, List.of(server), now, out);
   }
 
+  /** Another process of this instance runs beside this one from now on, or none does any more. */
+  default void beside(Beside other) {}
+
   /**
    * Whether a query is turned away unseen since so many queries and parts, its own included, would be held: the
    * pause its client is advised, or empty where there is room.
--- a/src/main/java/bitternpulley/policy/State.java
+++ b/src/main/java/bitternpulley/policy/State.java
@@ -195,6 +195,11 @@
     double checkAt = Double.NEGATIVE_INFINITY;
     ArrivalRecord.Step arrivals;
 
+    /** The weight of the parts that are in or out: what is in hand or on its way. */
+    double due() {
+      return parts.stream().filter(p -> p.in || p.openCount > 0).mapToDouble(p -> p.part.weight()).sum();
+    }
+
     QueryState(Router.Query query, Settings.QueryClass kind, double now, double aimAt, double endBy) {
       this.query = query;
       this.kind = kind;
--- a/src/test/java/bitternpulley/policy/PolicyTest.java
+++ b/src/test/java/bitternpulley/policy/PolicyTest.java
@@ -287,6 +287,27 @@
     assertEquals(3, r.sends.size());
   }
 
+  /** Guards against two processes of an upgrade that each use the whole of what is meant for one. */
+  @Test
+  void twoProcessesOfAnUpgradeShareTheBudgetForColdServersAndThePlacesForQueries() {
+    for (Router.Beside other : Router.Beside.values()) {
+      Rig r = new Rig(Rig.settings(Rig.kind(Settings.Effect.SAFE, 1000, 3000, 0, 1, 0), true, FREE, 1)).servers();
+      serve(r, 1, 60);
+      r.to(2000);
+      r.policy.beside(other);
+      r.list(Router.ListKind.CHANGES, Rig.member("s0", 0, Router.ServerState.LIVE, r.now));
+      r.sends.clear();
+      for (int i = 0; i < 30; i++) {
+        r.query(100 + i, 3000, new int[] {0});
+      }
+      // All of it: 2 x 0.2 x 1.8 sure cores x 1000 ms for two instances, 360 ms, of parts of 60 ms; 1000 places.
+      boolean leaves = other == Router.Beside.SUCCESSOR;
+      assertEquals(other == Router.Beside.NONE ? 6 : leaves ? 1 : 4, r.sends.size());
+      assertEquals(leaves, r.policy.turnedAway(300).isPresent());
+      assertEquals(other != Router.Beside.NONE, r.policy.turnedAway(900).isPresent());
+    }
+  }
+
   /** Guards against a cold server's budget spent on queries that can be answered without it. */
   @Test
   void partsThatCanWaitLeaveSomeOfAColdServersBudget() {
--- a/src/test/java/bitternpulley/process/OperatorsProcessTest.java
+++ b/src/test/java/bitternpulley/process/OperatorsProcessTest.java
@@ -5,6 +5,7 @@
 
 import bitternpulley.process.Deployment.Reply;
 import bitternpulley.process.StandIn.Act;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.file.Files;
@@ -158,4 +159,20 @@
       assertTrue(d.output.stream().anyMatch(l -> l.contains("draining")), "the log goes on");
     }
   }
+
+  /** Guards against two processes of an upgrade that together hold more than one may. */
+  @Test
+  public void aProcessThatTakesOverLeavesSomeOfTheLimitsToTheOneBefore() throws Exception {
+    d.close();
+    d = new Deployment();
+    ((ObjectNode) d.config().at("/settings/policyLimits")).put("maxOpen", 15);
+    d.holdSocket().startBeside();
+    d.servers.forEach(s -> s.act = (index, section) -> Act.SILENT);
+    try (Socket first = Deployment.connect(d.listen)) {
+      first.getOutputStream().write(Deployment.query("slot-search", "first", 4, 0, 1, 2, 3, 4, 5).getBytes());
+      Deployment.await("six parts held", () -> d.log.all().size() == 6);
+      assertEquals(status("second", 0, 1, 2, 3, 4, 5), 429, "14 are more than its part of 15");
+      assertEquals(d.log.all().size(), 6);
+    }
+  }
 }
