--- a/src/main/java/bitternpulley/Aggregator.java
+++ b/src/main/java/bitternpulley/Aggregator.java
@@ -142,14 +142,23 @@
     discovery.start();
     // Few aggregators: each is missed, so clients are served at once. Very many, short of discovery: a moment later.
     boolean atOnce = !config.wire().dear() && !config.operations().passedSocket();
-    whenListed(atOnce ? clock.now() : clock.now() + LIST_TIME, () -> {
-      // The platform's front comes last: it is what says that the program is ready.
-      if (!config.operations().passedSocket()) {
-        search.ifPresent(s -> listen(s.front()::listen, s.listen()));
-        listen(front::listen, config.listen());
+    if (atOnce) {
+      listen();
+    }
+    double until = atOnce ? clock.now() : clock.now() + LIST_TIME;
+    // Plays while discovery's word is awaited: what it takes of a start is time in which clients are not served.
+    new Rehearsal(config.settings(), loop).play(config.wire().dear(), () -> whenListed(until, () -> {
+      if (!atOnce && !config.operations().passedSocket()) {
+        listen();
       }
-      new Rehearsal(config.settings(), loop).play(() -> ready(rehearsal));
-    });
+      ready(rehearsal);
+    }));
+  }
+
+  /** The platform's front comes last: it is what says that the program is ready. */
+  private void listen() {
+    search.ifPresent(s -> listen(s.front()::listen, s.listen()));
+    listen(front::listen, config.listen());
   }
 
   /**
--- a/src/main/java/bitternpulley/platform/Rehearsal.java
+++ b/src/main/java/bitternpulley/platform/Rehearsal.java
@@ -32,6 +32,8 @@
   /** Queries played, and the ms after which no more are begun, however many were played. */
   private static final int QUERIES = 150;
   private static final double MOST_TIME = 600;
+  /** Queries played where very many aggregators share the traffic: each has little of it, and is missed until it is ready. */
+  private static final int QUERIES_OF_MANY = 20;
   /** Queries played before others on the loop get their turn. */
   private static final int AT_ONCE = 5;
   /** Ms of the made-up clock between queries. */
@@ -66,19 +68,19 @@
         .mapToObj(c -> new Router.Member("r" + c, c % 2, c, Router.ServerState.LIVE, 0)).toList()));
   }
 
-  /** Plays a few queries at a time; {@code done} runs once all are played or the time is up. */
-  public void play(Runnable done) {
+  /** Plays a few queries at a time, fewer where there are {@code many} aggregators; {@code done} runs once all are played or the time is up. */
+  public void play(boolean many, Runnable done) {
     long end = System.nanoTime() + (long) (MOST_TIME * 1e6);
-    playSome(end, done);
+    playSome(many ? QUERIES_OF_MANY : QUERIES, end, done);
   }
 
-  private void playSome(long end, Runnable done) {
+  private void playSome(int most, long end, Runnable done) {
     for (int i = 0; i < AT_ONCE; i++) {
       playOne();
     }
-    if (played < QUERIES && System.nanoTime() < end) {
+    if (played < most && System.nanoTime() < end) {
       // Guards against a watch that is not heard until all is played: what is executed in a turn belongs to that turn.
-      loop.after(0, () -> playSome(end, done));
+      loop.after(0, () -> playSome(most, end, done));
     } else {
       done.run();
     }
