--- a/src/main/java/bitternpulley/policy/Policy.java
+++ b/src/main/java/bitternpulley/policy/Policy.java
@@ -155,9 +155,11 @@
   private final int[] usualVotes;
   private final List<Way> ways = new ArrayList<>();
   private final double firstLatency;
+  /** The yardstick for what is late: the quickest zone's latency, which no slow way or zone can stretch. */
   private double usual;
   private double window;
   private final WorkEstimate estimate = new WorkEstimate();
+  private final Stall stall = new Stall();
   /** Parts out that are not late: what a silent server sits on says nothing of the others' load. */
   private int partsOut;
   private boolean freed;
@@ -338,7 +340,7 @@
         load += q.parts.size();
         dirty.add(q);
       } else if (!q.over) {
-        wakeAt(q, Math.min(q.aimAt, Math.max(now + HOLD, q.aimAt - usual())));
+        wakeAt(q, Math.min(q.aimAt, Math.max(now + HOLD, q.aimAt - usual)));
       }
     }
     int open = queries.size() + parts.size();
@@ -364,8 +366,8 @@
   /** Guards against queues that make all answers late, whatever fills them: fewer parts out then. */
   private void steerWindow(Attempt a, double took) {
     if (took > TIMELY_SHARE * a.part.query.kind.aim()) {
-      // A server that is slower than the rest by far is not what fewer parts out would help.
-      if (a.server.latency > SLOW_ALONE * usual()) {
+      // A server that is slower than the rest by far, or a stall, is not what fewer parts out would help.
+      if (a.server.latency > SLOW_ALONE * usual || stall.counted(a.sent) > a.sent) {
         return;
       }
       window = Math.max(WINDOW_LEAST, window * (1 - WINDOW_LOSS));
@@ -410,7 +412,7 @@
   private void startStep(QueryState q) {
     q.stepStart = now;
     q.arrivals.start(now);
-    q.stepAim = q.aimAt - (q.step == 1 && q.kind.secondStep() > 0 ? SECOND_STEP * usual() : 0);
+    q.stepAim = q.aimAt - (q.step == 1 && q.kind.secondStep() > 0 ? SECOND_STEP * usual : 0);
     q.stepAim = Math.max(q.stepAim, q.stepStart);
     double aimLeft = q.stepAim - q.stepStart;
     ArrivalRecord record = record(q);
@@ -509,7 +511,7 @@
   private double dueAt(PartState p) {
     return p.attempts.stream().filter(a -> a.open)
         .mapToDouble(a -> Math.max(now, a.sent + expected(a.server))).min()
-        .orElse(isLost(p) ? Double.POSITIVE_INFINITY : now + usual());
+        .orElse(isLost(p) ? Double.POSITIVE_INFINITY : now + usual);
   }
 
   private void answer(QueryState q, boolean whole) {
@@ -554,7 +556,7 @@
 
   /** The client is told to come back when what is out now should have been served. */
   private double advice() {
-    return settings.limits().advice() ? Math.min(settings.limits().maxAdvice(), ADVICE * usual()) : 0;
+    return settings.limits().advice() ? Math.min(settings.limits().maxAdvice(), ADVICE * usual) : 0;
   }
 
   private void end(QueryState q) {
@@ -620,7 +622,7 @@
     p.openCount++;
     p.due = Math.min(p.due, now + a.expected);
     if (suspect(s)) {
-      s.trialAt = now + s.trialGap * usual();
+      s.trialAt = now + s.trialGap * usual;
       s.trialGap = Math.min(2 * s.trialGap, TRIAL_GAP_MOST);
     }
     if (s.out.isEmpty() && now - s.lastHeard > FRESH_AFTER && !suspect(s)) {
@@ -649,7 +651,7 @@
     int bestRank = 0;
     for (Server s : fleet.holders(p.part.shard())) {
       // Guards against parts that use up their attempts within a moment, on a server that ends each at once.
-      boolean barred = s.down && now < s.trialAt || p.barred(s, now, FULL_FOR * usual())
+      boolean barred = s.down && now < s.trialAt || p.barred(s, now, FULL_FOR * usual)
           || forSend && s.slow && !s.room.takes(s.out.size(), canWait(p.query), now);
       if (s.state != ServerState.LIVE || barred || now < s.fullUntil || !coldAllows(s, p) || p.openAt(s)) {
         continue;
@@ -672,7 +674,7 @@
 
   /** A part that only serves a late answer, or one that may be given though all that is unsent stays so. */
   private boolean canWait(QueryState q) {
-    boolean early = now < q.stepStart + LATE_FACTOR * usual();
+    boolean early = now < q.stepStart + LATE_FACTOR * usual;
     boolean spared = q.kind.mayAnswerInPart() && (early || q.due() >= q.kind.leastShare() - ROUNDING);
     return now >= q.aimAt || spared;
   }
@@ -689,7 +691,6 @@
   /** When a part with one attempt out should get another: once it is late. */
   private double copyDue(PartState p) {
     Attempt a = p.lastOpen();
-    double usual = usual();
     if (suspect(a.server) || a.overtaken >= OVERTAKEN) {
       // Guards against parts that sit for seconds where little is hoped for: a suspect's own expected time is
       // stretched by the very failures that made it one, so the others' time is the yardstick.
@@ -710,14 +711,14 @@
       }
     } else if (p.query.kind.effect() != Settings.Effect.UNSAFE && budget(true)
         && (p.lastOpen().overtaken >= OVERTAKEN || suspect(p.lastOpen().server)
-        && (pick(p, false) != null || now >= p.lastOpen().sent + ALONE * usual()))) {
+        && (pick(p, false) != null || now >= p.lastOpen().sent + ALONE * usual))) {
       p.attempts.forEach(o -> cancel(p, o));
     }
   }
 
   /** What is late speaks against its way at once, not only when it is given up. */
   private void late(Attempt a) {
-    if (!a.late && now >= a.sent + LATE_FACTOR * usual()) {
+    if (!a.late && now >= a.sent + LATE_FACTOR * usual) {
       a.late = true;
       partsOut--;
       way(a.server.zone).lost += WAY_LOSS * (1 - way(a.server.zone).lost);
@@ -732,7 +733,7 @@
     // its parts is tried again, and if that breaks too the query is the common cause and is given up.
     boolean cleared = !q.broken || q.in > 0 || q.parts.stream().noneMatch(o -> o.openCount > 0);
     return cleared && !isLost(p) && p.attempts.size() < settings.limits().maxAttempts()
-        && (p.openCount == 0 || copy && copies) && now + usual() <= q.endBy && budget(copy);
+        && (p.openCount == 0 || copy && copies) && now + usual <= q.endBy && budget(copy);
   }
 
   private boolean budget(boolean copy) {
@@ -802,6 +803,7 @@
     }
     switch (e.outcome()) {
       case OK -> {
+        stall.heard(now, usual, fleet.servers());
         s.room.answered(a.sent, took <= TIMELY_SHARE * a.part.query.kind.aim(), s.out.size(), now);
         smooth(s, took);
         estimate.answered(took, a.alone);
@@ -825,7 +827,7 @@
       case FULL -> {
         // Guards against queues that never drain: what a full one takes in is given up before its turn.
         // It is sound all the same: a longer pause would leave it idle while the others fill up in turn.
-        s.fullUntil = now + FULL_FOR * usual();
+        s.fullUntil = now + FULL_FOR * usual;
         s.room.full(s.out.size(), now);
       }
       case UNREACHABLE, RESET -> {
@@ -848,7 +850,7 @@
     s.latency = s.latency == 0 ? way.latency : s.latency;
     s.latency += SMOOTHING * (took - s.latency);
     smooth(way, took);
-    s.slow = s.latency > (s.slow ? SLOW_STILL : SLOW_ALONE) * usual();
+    s.slow = s.latency > (s.slow ? SLOW_STILL : SLOW_ALONE) * usual;
   }
 
   /** A single outlier hardly moves a zone's figure: it is the server's or the query's own. */
@@ -861,17 +863,12 @@
     }
   }
 
-  /** The yardstick for what is late: the quickest zone's latency, which no slow way or zone can stretch. */
-  private double usual() {
-    return usual;
-  }
-
   /** A failure says nothing of speed, so that quick errors do not make a server look fast. */
   private void failed(Server s) {
     s.failures += FAILURE_SMOOTHING * (1 - s.failures);
     s.streak++;
     if (suspect(s)) {
-      s.trialAt = Math.max(s.trialAt, now + s.trialGap * usual());
+      s.trialAt = Math.max(s.trialAt, now + s.trialGap * usual);
     }
   }
 
@@ -895,13 +892,14 @@
 
   private boolean silent(Server s) {
     double waits = oldestAge(s);
-    return s.lastHeard <= now - waits && waits > silenceAfter(s);
+    return s.lastHeard <= now - waits && now - stall.counted(now - waits) > silenceAfter(s)
+        && !stall.lasts(now, usual, fleet.servers());
   }
 
   private double silenceAfter(Server s) {
     // Guards against a server that grows less suspect the longer it keeps silent: each part called off there
     // adds to its smoothed latency, which must not stretch the time it is given without bound.
-    return SILENCE_FACTOR * Math.max(usual(), Math.min(s.latency, SILENCE_STRETCH * usual()));
+    return SILENCE_FACTOR * Math.max(usual, Math.min(s.latency, SILENCE_STRETCH * usual));
   }
 
   /** A server's latency times the tries that a success takes. */
@@ -951,7 +949,7 @@
 
   /** The work of a part: as hinted, else by what answers take. */
   private double work(PartState p) {
-    return p.part.work() > 0 ? p.part.work() : estimate.work(usual());
+    return p.part.work() > 0 ? p.part.work() : estimate.work(usual);
   }
 
   // --- Alarms and ends ---------------------------------------------------------------------------
@@ -965,7 +963,7 @@
         if (!p.in && p.openCount > 0) {
           // A server turns silent without an event: look again by then.
           next = earliest(next, p.lastOpen().sent + silenceAfter(p.lastOpen().server) + 1);
-          next = earliest(next, p.lastOpen().sent + LATE_FACTOR * usual() + 1);
+          next = earliest(next, p.lastOpen().sent + LATE_FACTOR * usual + 1);
           next = earliest(next, Math.max(copyDue(p), now + HOLD));
         } else if (!p.in && p.openCount == 0 && !p.attempts.isEmpty()) {
           next = earliest(next, now + HOLD);
--- a/src/test/java/bitternpulley/policy/PolicyTest.java
+++ b/src/test/java/bitternpulley/policy/PolicyTest.java
@@ -322,6 +322,28 @@
     assertEquals(2, r.sends.stream().filter(s -> s.server().equals("s0")).count(), "not three, as above");
   }
 
+  /** Guards against a moment in which all servers stand still that has each part called off and sent once more. */
+  @Test
+  void noServerIsSilentWhileNothingComesFromAny() {
+    for (boolean all : new boolean[] {true, false}) {
+      Rig r = rig(Settings.Effect.SAFE, 1, 0, false, FREE);
+      learn(r, 30, 20);
+      r.sends.clear();
+      r.query(1, 3000, new int[] {0, 1, 2, 3, 0, 1, 2, 3});
+      assertEquals(4, r.sends.stream().map(Rig.Send::server).distinct().count());
+      for (int t = 0; t < 15; t++) {
+        r.to(r.now + 20);
+        if (!all) {
+          // All but one go on answering: that one is silent.
+          r.query(100 + t, 3000, new int[] {0, 1, 2, 3});
+          List.copyOf(r.sends).stream().filter(s -> s.part() != 10 && !s.server().equals(r.sends.get(0).server()))
+              .forEach(s -> r.end(s.part(), 0, Router.Outcome.OK));
+        }
+      }
+      assertEquals(all, r.cancels.isEmpty(), r.cancels.toString());
+    }
+  }
+
   /** Guards against a rush on a server that seems quick for a moment, since its queue was kept short. */
   @Test
   void aServerSlowAloneKeepsItsShortQueueUntilItIsNearlyAsQuickAsTheOthers() {
