--- a/src/main/java/bitternpulley/admin/StandingFile.java
+++ b/src/main/java/bitternpulley/admin/StandingFile.java
@@ -81,6 +81,7 @@
     });
   }
 
+  @SuppressWarnings("try") // the lock is held, not used
   private void change(Standing.Order order) throws IOException {
     if (file.isEmpty()) {
       last = last.with(order);
