Parts that wait for a connection are taken back when their server drains

Checked: a probe logged each frame written to a server already told to drain. On the node at fault it printed 'DRAIN write s- after 13.9 ms, link age 98 ms, call age 98 ms' six times and nothing else: frames held back in SlotServers until their connection came up, which were written after the list had been taken in. The list itself was read some 0.3 s after the agent wrote it, since the loop was busy with its first queries after the restart; the two waits add up. Ruled out: the module (it sent nothing new), stale lists (the revision was current), writes queued behind others. At fault: Link's word of a connection that is up wrote whatever had been called, whatever had been told since. Change: Effect.Withdraw, asked for by the reducer for each server with parts out that takes no new work any more (drains, gone, not on a whole list, cordoned); both dialects end what not a byte has gone of as MOOT, which never ran and blames nobody.

--- a/src/main/java/bitternpulley/broker/Broker.java
+++ b/src/main/java/bitternpulley/broker/Broker.java
@@ -87,6 +87,8 @@
         timer.after(e.time() - clock.now(), () -> submit(e.event()));
       } else if (effect instanceof Effect.CloseIdle e) {
         dialects.forEach(d -> d.closeIdle(e.server()));
+      } else if (effect instanceof Effect.Withdraw e) {
+        dialects.forEach(d -> d.withdraw(e.server()));
       } else if (effect instanceof Effect.Keep e) {
         operators.keep(e);
       } else if (effect instanceof Effect.Turn e) {
--- a/src/main/java/bitternpulley/broker/Dialect.java
+++ b/src/main/java/bitternpulley/broker/Dialect.java
@@ -11,6 +11,13 @@
    */
   void abandon(Effect.Abandon attempt);
 
+  /**
+   * Takes back the attempts at a server of which not a byte has gone: each ends as {@link
+   * bitternpulley.routing.Router.Outcome#MOOT}. Guards against sends that wait for a connection to come up while the
+   * server begins to drain.
+   */
+  void withdraw(String server);
+
   /** Delivers the one final answer of a request. */
   void reply(Effect.Reply reply);
 
--- a/src/main/java/bitternpulley/broker/Effect.java
+++ b/src/main/java/bitternpulley/broker/Effect.java
@@ -13,6 +13,9 @@
   /** Stop waiting for an attempt. */
   record Abandon(AttemptId id, Request request, String server) implements Effect {}
 
+  /** Take back what has not begun to go to a server, which is to have nothing new. */
+  record Withdraw(String server) implements Effect {}
+
   /** Deliver the final answer. */
   record Reply(Request request, Answer answer) implements Effect {}
 
--- a/src/main/java/bitternpulley/broker/Reducer.java
+++ b/src/main/java/bitternpulley/broker/Reducer.java
@@ -130,6 +130,7 @@
       }
     } else if (event instanceof Event.Told e) {
       router.members(e.kind(), roster.told(e), now, recorder);
+      withdraw();
     } else if (event instanceof Event.Agreed e) {
       accounts.apply(e.book(), now);
     } else if (event instanceof Event.Ordered e) {
@@ -165,6 +166,7 @@
     Roster.Change change = roster.stands(fresh);
     if (!change.out().isEmpty()) {
       router.members(Router.ListKind.CHANGES, change.out(), now, recorder);
+      withdraw();
     }
     change.back().forEach(m -> router.readmitted(m, now, recorder));
     if (change.quiesces()) {
@@ -172,6 +174,12 @@
     }
   }
 
+  /** Guards against parts sent before a server's drain was told whose bytes, held up on the way, would go after it. */
+  private void withdraw() {
+    parts.values().stream().filter(p -> p.out != null && !roster.takesWork(p.out.server)).map(p -> p.out.server)
+        .distinct().forEach(s -> effects.add(new Effect.Withdraw(s)));
+  }
+
   private void ordered(Event.Ordered e) {
     String server = e.order().server();
     effects.add(server == null || roster.knows(server) ? new Effect.Keep(e.order(), e.caller())
--- a/src/main/java/bitternpulley/broker/Roster.java
+++ b/src/main/java/bitternpulley/broker/Roster.java
@@ -31,6 +31,12 @@
         ? new Router.Member(m.server(), m.zone(), m.cell(), Router.ServerState.DRAINING, m.startedAt()) : m;
   }
 
+  /** Whether new work may go there: it is listed, does not drain and is not cordoned. */
+  boolean takesWork(String server) {
+    Router.Member m = listed.get(server);
+    return m != null && asOrdered(m).state() == Router.ServerState.LIVE;
+  }
+
   /** A cordoned server may have left the list since; letting it back in must work all the same. */
   boolean knows(String server) {
     return listed.containsKey(server) || standing.cordoned().contains(server);
--- a/src/main/java/bitternpulley/net/HttpClient.java
+++ b/src/main/java/bitternpulley/net/HttpClient.java
@@ -44,6 +44,9 @@
   /** A call under way; dropping it closes its connection, so that the server may stop. */
   public interface Call {
     void drop();
+
+    /** Whether a byte of it may have gone. */
+    boolean begun();
   }
 
   /** Sends a request, whose bytes are its head and body; null where no more connections may be open. */
@@ -62,7 +65,7 @@
       }
     }
     link.begin(request, done);
-    return link::drop;
+    return link;
   }
 
   /** Closes the idle connections to an address. */
@@ -73,7 +76,7 @@
     }
   }
 
-  private final class Link implements Connection.Owner {
+  private final class Link implements Connection.Owner, Call {
     private final HostPort to;
     private final HttpParser parser = new HttpParser(true, mostBody, new WholeMessages(head -> { }, this::whole));
     private final Connection connection;
@@ -110,7 +113,13 @@
       }
     }
 
-    void drop() {
+    @Override
+    public boolean begun() {
+      return up;
+    }
+
+    @Override
+    public void drop() {
       done = null;
       request = null;
       connection.close();
--- a/src/main/java/bitternpulley/opensearch/SearchServers.java
+++ b/src/main/java/bitternpulley/opensearch/SearchServers.java
@@ -19,6 +19,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -32,7 +33,9 @@
   private final HttpClient client;
   private final int port;
   private final Map<String, HostPort> addresses = new HashMap<>();
-  private final Map<AttemptId, HttpClient.Call> out = new HashMap<>();
+  private record Out(String server, HttpClient.Call call) {}
+
+  private final Map<AttemptId, Out> out = new LinkedHashMap<>();
 
   public SearchServers(EventLoop loop, Broker broker, HttpClient client, int port) {
     this.loop = loop;
@@ -80,19 +83,29 @@
     if (call == null) {
       loop.execute(() -> broker.submit(new Event.Ended(attempt.id(), Outcome.UNREACHABLE, null)));
     } else {
-      out.put(attempt.id(), call);
+      out.put(attempt.id(), new Out(attempt.server(), call));
     }
   }
 
   @Override
   public void abandon(Effect.Abandon attempt) {
-    HttpClient.Call call = out.remove(attempt.id());
-    if (call != null) {
-      call.drop();
+    Out left = out.remove(attempt.id());
+    if (left != null) {
+      left.call().drop();
       broker.submit(new Event.Abandoned(attempt.id()));
     }
   }
 
+  @Override
+  public void withdraw(String server) {
+    List<AttemptId> unsent = out.entrySet().stream().filter(o -> o.getValue().server().equals(server)
+        && !o.getValue().call().begun()).map(Map.Entry::getKey).toList();
+    for (AttemptId a : unsent) {
+      out.remove(a).call().drop();
+      broker.submit(new Event.Ended(a, Outcome.MOOT, null));
+    }
+  }
+
   @Override
   public void reply(Effect.Reply reply) {
     ((Search) reply.request().payload()).done().accept(reply.answer());
--- a/src/main/java/bitternpulley/platform/Rehearsal.java
+++ b/src/main/java/bitternpulley/platform/Rehearsal.java
@@ -153,6 +153,11 @@
     front.reply(reply);
   }
 
+  @Override
+  public void withdraw(String server) {
+    // Its servers never drain.
+  }
+
   @Override
   public void closeIdle(String server) {
     // There are no connections.
--- a/src/main/java/bitternpulley/platform/SlotServers.java
+++ b/src/main/java/bitternpulley/platform/SlotServers.java
@@ -183,6 +183,15 @@
     }
   }
 
+  @Override
+  public void withdraw(String server) {
+    for (Link l : List.copyOf(links.getOrDefault(server, List.of()))) {
+      if (!l.up) {
+        l.withdraw();
+      }
+    }
+  }
+
   @Override
   public void closeIdle(String server) {
     for (Link l : List.copyOf(links.getOrDefault(server, List.of()))) {
@@ -292,6 +301,14 @@
       });
     }
 
+    /** Ends a connection that is not up yet, and what waits for it: nothing of that has gone, and none will. */
+    private void withdraw() {
+      List<AttemptId> waiting = List.copyOf(calls.keySet());
+      waiting.forEach(this::remove);
+      close();
+      waiting.forEach(a -> events.accept(new Event.Ended(a, Outcome.MOOT, null)));
+    }
+
     private void remove(AttemptId attempt) {
       Call call = calls.remove(attempt);
       byId.remove(call.id, attempt);
--- a/src/test/java/bitternpulley/broker/ReducerTest.java
+++ b/src/test/java/bitternpulley/broker/ReducerTest.java
@@ -173,4 +173,19 @@
     tell(new Event.Alarm("q1"));
     assertFalse(answer(0) instanceof Effect.Answer.Answered, "half is not the whole");
   }
+
+  /** Guards against parts that wait on the way to a server while it begins to drain, or leaves the list. */
+  @Test
+  public void whatIsOutAtAServerThatTakesNothingNewIsTakenBack() {
+    ask(1, 0);
+    String first = start(0).server();
+    Router.Member drains = new Router.Member(first, 0, Integer.parseInt(first.substring(1)), Router.ServerState.DRAINING, 0);
+    tell(new Event.Told(Router.ListKind.CHANGES, List.of(drains)));
+    assertEquals(all(Effect.Withdraw.class), List.of(new Effect.Withdraw(first)));
+    tell(new Event.Ended(start(0).id(), Router.Outcome.MOOT, null));
+    String second = start(1).server();
+    assertFalse(second.equals(first));
+    tell(new Event.Told(Router.ListKind.COMPLETE, List.of(drains)));
+    assertEquals(all(Effect.Withdraw.class), List.of(new Effect.Withdraw(first), new Effect.Withdraw(second)));
+  }
 }
--- a/src/test/java/bitternpulley/platform/SlotServersTest.java
+++ b/src/test/java/bitternpulley/platform/SlotServersTest.java
@@ -224,6 +224,27 @@
     }
   }
 
+  /** Guards against a part sent before a drain was told that goes out after it, once its connection has come up. */
+  @Test
+  public void whatWaitsForAConnectionIsTakenBack() throws Exception {
+    // In one turn, so that the connection has no chance to come up in between.
+    loop.execute(() -> {
+      servers.start(new Effect.Start(new AttemptId(0, 0), request, 0, "s", 2000));
+      servers.withdraw("s");
+    });
+    assertEquals(outcomes(1), List.of("0 MOOT"));
+    start(1, 0);
+    try (Socket ended = server.accept()) {
+      assertEquals(ended.getInputStream().read(), -1, "not a byte of it went");
+    }
+    try (Socket sent = server.accept()) {
+      assertEquals(frame(sent), call(1));
+      loop.execute(() -> servers.withdraw("s"));
+      sent.getOutputStream().write(answer(1, "00000000000000aa"));
+      assertEquals(outcomes(2), List.of("0 MOOT", "1 OK"), "what has gone is awaited");
+    }
+  }
+
   /** Guards against descriptors and memory kept for servers that are gone. */
   @Test
   public void theConnectionsOfAServerThatIsGoneAreClosed() throws Exception {
