Each part on a connection that ends is told of it, whoever gives up another meanwhile

Cause: closed() removed and told the parts one by one; hearing of one end, the module gave up another on the same connection, which had never come up and so was removed at once. The walk then met it, failed, and the parts behind it were never told of their end: they stayed out for good in the core and the module, and their server looked silent. Change: all are removed first, then told, as spoilt() and withdraw() do. The new test fails without it with that very error.

--- a/src/main/java/bitternpulley/platform/SlotServers.java
+++ b/src/main/java/bitternpulley/platform/SlotServers.java
@@ -455,11 +455,11 @@
       over = true;
       leave();
       Map<AttemptId, Call> left = new LinkedHashMap<>(calls);
-      left.forEach((attempt, call) -> {
-        remove(attempt);
-        // Whether the last byte had gone decides if the part may have run.
-        events.accept(new Event.Ended(attempt, call.written ? Outcome.RESET : Outcome.UNREACHABLE, null));
-      });
+      // All of them first: whoever hears of one end may give up another that was out here, and the rest must be told as well.
+      left.keySet().forEach(this::remove);
+      // Whether the last byte had gone decides if the part may have run.
+      left.forEach((attempt, call) ->
+          events.accept(new Event.Ended(attempt, call.written ? Outcome.RESET : Outcome.UNREACHABLE, null)));
     }
   }
 }
--- a/src/test/java/bitternpulley/platform/SlotServersTest.java
+++ b/src/test/java/bitternpulley/platform/SlotServersTest.java
@@ -286,6 +286,25 @@
     assertEquals(outcomes(1), List.of("0 RESET"));
   }
 
+  /** Guards against parts whose end is never told, since that of another on their connection had one of them given up. */
+  @Test
+  public void eachPartOnAConnectionThatNeverComesUpEnds() throws Exception {
+    server.close();
+    servers = new SlotServers(loop, e -> {
+      events.add(e);
+      if (e instanceof Event.Ended ended && ended.attempt().part() == 0) {
+        servers.abandon(new Effect.Abandon(new AttemptId(1, 0), request, "s"));
+      }
+    }, Clock.system(), new Configuration.Wire(100, 15_000, false), 5000, 10, 4);
+    loop.execute(() -> {
+      servers.address("s", new HostPort("127.0.0.1", server.getLocalPort()));
+      for (int part = 0; part < 3; part++) {
+        servers.start(new Effect.Start(new AttemptId(part, 0), request, part, "s", 2000));
+      }
+    });
+    assertEquals(outcomes(3), List.of("0 UNREACHABLE", "1 UNREACHABLE", "2 UNREACHABLE"));
+  }
+
   /** Guards against descriptors and memory kept for servers that are gone. */
   @Test
   public void theConnectionsOfAServerThatIsGoneAreClosed() throws Exception {
