Answers go out in the turn that decides them; a query that nobody can take is told so

A channel group of one thread does not try what is written in an alarm's turn, or after sixteen writes in one turn; its thread comes to it after all that it had polled, here the 120 parts of another report. Beside it: alarms rang up to 280 ms late, as the loop's thread took turn after turn; a query read 409 ms after it was sent counted from the read; and a query with no holder that could take it was silent to its end.

Connection writes by future, which is tried at once. Turns are fair. LoopLag tells how long bytes may have lain unread, and how late turns came; a query's time and the lead before its end go by it. The module gives a query up as soon as no stated event (a trial, a full queue moving on, a cold server's turn, room) can make a holder available in time.

--- a/src/main/java/bitternpulley/Aggregator.java
+++ b/src/main/java/bitternpulley/Aggregator.java
@@ -164,6 +164,7 @@
   }
 
   private void serve(Runnable rehearsal) {
+    loop.watchItself();
     if (config.operations().admin().isPresent()) {
       openDoor(config.operations().admin().get());
     }
--- a/src/main/java/bitternpulley/broker/Reducer.java
+++ b/src/main/java/bitternpulley/broker/Reducer.java
@@ -160,7 +160,7 @@
   private void hold(Request r, Charge charge) {
     Router.Terms terms = charge == null ? r.terms() : r.terms().under(charge.terms());
     double timeLeft = charge == null ? r.timeLeft() : Math.min(r.timeLeft(), charge.terms().deadline());
-    Open open = new Open(r, charge, now + timeLeft, nextPart);
+    Open open = new Open(r, charge, now + timeLeft - r.late().unread(), nextPart);
     requests.put(r.id(), open);
     nextPart += r.slices().size();
     partsHeld += r.slices().size();
@@ -171,7 +171,7 @@
     }
     double work = r.slices().stream().mapToDouble(Request.Slice::work).sum();
     router.query(new Router.Query(r.id(), r.id(), r.requestClass(), r.slices().size(), work, r.retry(), timeLeft,
-        0, terms), now, recorder);
+        0, terms, r.late()), now, recorder);
     for (int i = 0; i < r.slices().size(); i++) {
       Request.Slice s = r.slices().get(i);
       parts.put(open.firstPart + i, new Part(open, i));
@@ -266,7 +266,10 @@
       }
       mayHaveRun |= p != null && (p.mayHaveRun || p.out != null);
     }
-    return new Effect.Answer.Ending(now >= open.endsAt - LATE, mayHaveRun, missing);
+    // Given up a little earlier, since nothing could come in time any more, it is out of time all the same.
+    boolean unanswered = !missing.isEmpty() && missing.values().stream().allMatch(
+        m -> m.outcome() == Router.Outcome.TIMEOUT || m.outcome() == Router.Outcome.CANCELLED);
+    return new Effect.Answer.Ending(unanswered || now >= open.endsAt - LATE, mayHaveRun, missing);
   }
 
   private Open forget(long id) {
--- a/src/main/java/bitternpulley/health/ServerRoom.java
+++ b/src/main/java/bitternpulley/health/ServerRoom.java
@@ -34,6 +34,17 @@
     return out == 0 && !canWait || out + calledOff.size() < (canWait ? LOW_SHARE * (room - 1) : room);
   }
 
+  /**
+   * When there may be room next, where there is none now: at any moment while parts are out there, as each answer makes
+   * some; else once what was called off is forgotten, or never.
+   */
+  public double opensAt(int out, boolean canWait, double now) {
+    if (out > 0 || takes(out, canWait, now)) {
+      return now;
+    }
+    return LOW_SHARE * (room - 1) > 0 ? calledOff.peek() + FORGET : Double.POSITIVE_INFINITY;
+  }
+
   /** Turned away since the queue is full, with so many others out. */
   public void full(int out, double now) {
     lose(Math.min(room, out + calledOff.size()) * LOSS_FULL, now);
--- a/src/main/java/bitternpulley/health/WindowCount.java
+++ b/src/main/java/bitternpulley/health/WindowCount.java
@@ -24,4 +24,13 @@
     }
     return entries.isEmpty() ? sum = 0 : sum;
   }
+
+  /** What the sum will be at a later time if nothing is added until then. */
+  public double sumAt(double later) {
+    double left = 0;
+    for (double[] e : entries) {
+      left += e[0] < later - span ? 0 : e[1];
+    }
+    return left;
+  }
 }
--- a/src/main/java/bitternpulley/net/AddressListener.java
+++ b/src/main/java/bitternpulley/net/AddressListener.java
@@ -31,10 +31,11 @@
 
   @Override
   public void accept(Consumer<Connection> taken, Consumer<Throwable> failed) {
+    double armed = loop.now();
     channel.accept(null, new CompletionHandler<AsynchronousSocketChannel, Void>() {
       @Override
       public void completed(AsynchronousSocketChannel accepted, Void nothing) {
-        loop.inTurn(() -> taken.accept(new Connection(loop, accepted)));
+        loop.socketTurn(armed, () -> taken.accept(new Connection(loop, accepted)));
       }
 
       @Override
--- a/src/main/java/bitternpulley/net/Connection.java
+++ b/src/main/java/bitternpulley/net/Connection.java
@@ -9,6 +9,8 @@
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
 import java.util.ArrayDeque;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
 
 /**
  * One TCP connection: reads handed to its owner piece by piece, writes in order with a word when their last byte
@@ -23,6 +25,8 @@
   /** Ms that a peer gets to end its side after we have ended ours, and the bytes read meanwhile at most. */
   private static final double LINGER = 2000;
   private static final long MOST_DROPPED = 96L << 20;
+  /** Ms between looks at whether the machine has taken what it could not take at once. */
+  private static final double WRITE_LOOK = 4;
   /** Ms that a write may wait for its peer to read. */
   private static final double WRITE_TIME = 3000;
   /** What comes in to be dropped goes here, from all connections: nobody looks at it. */
@@ -112,10 +116,11 @@
   }
 
   private static <T> CompletionHandler<T, Void> handler(Connection of, Done<T> done) {
+    double armed = of.loop.now();
     return new CompletionHandler<>() {
       @Override
       public void completed(T result, Void nothing) {
-        of.loop.inTurn(() -> {
+        of.loop.socketTurn(armed, () -> {
           try {
             done.with(result);
           } catch (RuntimeException e) {
@@ -182,32 +187,61 @@
   }
 
   private void flush() {
-    if (writing || closed) {
-      return;
-    }
-    Pending next = writes.peek();
-    if (next == null) {
-      if (closing && !lingering) {
-        linger();
+    while (!writing && !closed && !writes.isEmpty()) {
+      Pending next = writes.peek();
+      writing = true;
+      Future<Integer> attempt = channel.write(next.bytes);
+      went(next, attempt);
+      if (writing) {
+        awaitMachine(next, attempt);
+        awaitReader(written);
       }
+    }
+    if (writes.isEmpty() && closing && !lingering && !closed) {
+      linger();
+    }
+  }
+
+  /**
+   * Takes note of what has gone. By a future, as that alone is tried at once: with a handler a group of one thread puts off
+   * what is written in an alarm's turn, or behind some others, till it has been through all that came in before. Guards
+   * against answers that are decided in time and go out when their clients have left.
+   */
+  private void went(Pending next, Future<Integer> attempt) {
+    if (closed || !attempt.isDone()) {
       return;
     }
-    writing = true;
-    channel.write(next.bytes, null, handler(this, (Integer count) -> {
+    try {
+      waiting -= attempt.get();
       writing = false;
       written++;
-      waiting -= count;
       if (!next.bytes.hasRemaining()) {
         writes.poll();
         next.written.run();
       }
-      flush();
-    }));
-    if (writing) {
-      awaitReader(written);
+    } catch (ExecutionException e) {
+      close();
+    } catch (InterruptedException e) {
+      throw new IllegalStateException("what is done is not waited for", e);
+    } catch (RuntimeException e) {
+      // Guards against one bad message ending more than its own connection.
+      LOG.log(Level.ERROR, "a connection's handler failed", e);
+      close();
     }
   }
 
+  /** The machine takes no more just now, as its peer does not read: a rare case, so it is looked at now and then. */
+  private void awaitMachine(Pending next, Future<Integer> attempt) {
+    loop.after(WRITE_LOOK, () -> {
+      went(next, attempt);
+      if (writing && !closed) {
+        awaitMachine(next, attempt);
+      } else {
+        flush();
+      }
+    });
+  }
+
   /** Guards against a peer that stops reading, whose connection would be held for good. */
   private void awaitReader(long before) {
     loop.after(WRITE_TIME, () -> {
--- a/src/main/java/bitternpulley/net/EventLoop.java
+++ b/src/main/java/bitternpulley/net/EventLoop.java
@@ -23,7 +23,9 @@
   private static final long GRID = 2_000_000;
 
   private final DoubleSupplier clock;
-  private final ReentrantLock turn = new ReentrantLock();
+  private final LoopLag lag = new LoopLag();
+  /** Fair. Guards against alarms, which are deadlines, that wait until all that has come in is dealt with. */
+  private final ReentrantLock turn = new ReentrantLock(true);
   private final ArrayDeque<Runnable> next = new ArrayDeque<>();
   private final ScheduledThreadPoolExecutor alarms = new ScheduledThreadPoolExecutor(1, r -> new Thread(r, "alarms"));
   private final AsynchronousChannelGroup group;
@@ -48,11 +50,27 @@
     return group;
   }
 
-  /** The time in ms, by which the ages of connections are told. */
+  /** The time in ms, by which the ages of connections are told, and the lateness of turns. */
   double now() {
     return clock.getAsDouble();
   }
 
+  /** Begins to watch how late its own turns come; until then they count as in time. */
+  public void watchItself() {
+    lag.beat(now());
+    after(LoopLag.BEAT, this::watchItself);
+  }
+
+  /** Ms for which what is read in this turn may have lain unread. */
+  double unread() {
+    return lag.unread(now());
+  }
+
+  /** Ms by which turns came late in the last seconds, at the worst. */
+  double worstTurn() {
+    return lag.worst(now());
+  }
+
   /** Runs a task in a turn of its own, now or, within another turn, at the end of that. */
   public void execute(Runnable task) {
     if (turn.isHeldByCurrentThread()) {
@@ -70,10 +88,26 @@
     return alarms.schedule(() -> inTurn(task), wait, TimeUnit.NANOSECONDS);
   }
 
+  /** A turn for what a socket brings that was last waited for from {@code armed} on. */
+  void socketTurn(double armed, Runnable task) {
+    inTurn(() -> {
+      if (turn.getHoldCount() == 1) {
+        lag.socket(now(), armed);
+      }
+      task.run();
+      if (turn.getHoldCount() == 1) {
+        lag.socketDone(now());
+      }
+    });
+  }
+
   /** Runs a task while nothing else of the loop runs, then what it left to be done. */
   void inTurn(Runnable task) {
     turn.lock();
     try {
+      if (turn.getHoldCount() == 1) {
+        lag.turn(now());
+      }
       guarded(task);
       while (turn.getHoldCount() == 1 && !next.isEmpty()) {
         guarded(next.poll());
--- a/src/main/java/bitternpulley/net/HttpServer.java
+++ b/src/main/java/bitternpulley/net/HttpServer.java
@@ -41,8 +41,18 @@
     public static final Times USUAL = new Times(2000, 2200, 5000);
   }
 
-  /** A whole request. */
-  public record Request(HttpHead head, byte[] body) {}
+  /**
+   * A whole request.
+   *
+   * @param unread ms for which its last bytes may have lain unread, as the loop was late
+   * @param worstTurn ms by which the loop's turns came late in the last seconds, which the answer may meet too
+   */
+  public record Request(HttpHead head, byte[] body, double unread, double worstTurn) {
+    /** One of a loop that was never late. */
+    public Request(HttpHead head, byte[] body) {
+      this(head, body, 0, 0);
+    }
+  }
 
   /** Answers requests; every call comes on the loop's thread. */
   public interface Handler {
@@ -216,6 +226,8 @@
     private boolean broken;
     private int count;
     private int mine;
+    /** When what was read last may have come. */
+    private double cameAt;
     /** When it was opened, its request begun or its last answer written. */
     private double since = loop.now();
 
@@ -268,6 +280,13 @@
 
     @Override
     public void received(ByteBuffer bytes) {
+      double seen = loop.now() - loop.unread();
+      // What a client sends behind an answer cannot have come before that.
+      cameAt = count > 0 && idle() ? Math.max(seen, Math.min(since, loop.now())) : seen;
+      take(bytes);
+    }
+
+    private void take(ByteBuffer bytes) {
       // Guards against a request that waits for good behind one answered at once: what is ahead is only kept
       // while a call is under way, whose end takes it up.
       while (call == null && bytes.hasRemaining() && !broken) {
@@ -310,7 +329,7 @@
       count++;
       call = new Call(this, head.keepAlive());
       try {
-        handler.handle(new Request(head, body), call);
+        handler.handle(new Request(head, body, loop.now() - cameAt, loop.worstTurn()), call);
       } catch (RuntimeException e) {
         // Guards against a request that is lost because dealing with it failed.
         LOG.log(Level.ERROR, "a request could not be dealt with", e);
@@ -332,7 +351,7 @@
         if (ahead.hasRemaining() && stays) {
           ByteBuffer next = ahead;
           ahead = ByteBuffer.allocate(0);
-          received(next);
+          take(next);
           if (call == null) {
             connection.resume();
           }
--- a/src/main/java/bitternpulley/net/SelectedChannel.java
+++ b/src/main/java/bitternpulley/net/SelectedChannel.java
@@ -8,6 +8,7 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.nio.channels.SocketChannel;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
 
 /** A selectable channel with completion handlers: at most one read and one write at a time, as {@link Connection} has. */
@@ -111,11 +112,23 @@
 
   @Override
   public Future<Integer> read(ByteBuffer to) {
-    throw new UnsupportedOperationException("this program takes completion handlers only");
+    throw new UnsupportedOperationException("this program reads by completion handlers only");
   }
 
   @Override
   public Future<Integer> write(ByteBuffer from) {
-    throw new UnsupportedOperationException("this program takes completion handlers only");
+    CompletableFuture<Integer> done = new CompletableFuture<>();
+    write(from, done, new CompletionHandler<Integer, CompletableFuture<Integer>>() {
+      @Override
+      public void completed(Integer count, CompletableFuture<Integer> to) {
+        to.complete(count);
+      }
+
+      @Override
+      public void failed(Throwable e, CompletableFuture<Integer> to) {
+        to.completeExceptionally(e);
+      }
+    });
+    return done;
   }
 }
--- a/src/main/java/bitternpulley/opensearch/SearchFront.java
+++ b/src/main/java/bitternpulley/opensearch/SearchFront.java
@@ -74,7 +74,7 @@
       List<String> names = path.isEmpty() ? List.of() : names(decode(path.get(0)));
       Map<String, String> parameters = parameters(target.length > 1 ? target[1] : "");
       String token = token(request);
-      Asker asker = new Asker(holder(request), token);
+      Asker asker = new Asker(holder(request), token, new Router.Lateness(request.unread(), request.worstTurn()));
       if (call.equals("_search")) {
         search(names, parameters, asker, request, exchange);
       } else {
@@ -91,11 +91,11 @@
     return response(SearchResponse.error(new SearchException(status, type, reason)));
   }
 
-  /** Who asks: by the key shown, and the token that keyed classes need, or null. */
-  private record Asker(Recognition.Holder holder, String token) {
+  /** Who asks: by the key shown, and the token that keyed classes need, or null; and how late that was read. */
+  private record Asker(Recognition.Holder holder, String token, Router.Lateness late) {
     /** The same for one search of several. */
     Asker of(int place) {
-      return new Asker(holder, token == null ? null : token + "." + place);
+      return new Asker(holder, token == null ? null : token + "." + place, late);
     }
   }
 
@@ -229,7 +229,8 @@
     long print = recognition.get() == Recognition.NONE ? 0
         : Prints.of((parts + search[0].body().toString()).getBytes(StandardCharsets.UTF_8), search[0].requestClass());
     broker.submit(new Event.Taken(
-        new Request(id, servers, search[0].requestClass(), time, false, terms, slices, search[0], team, print)));
+        new Request(id, servers, search[0].requestClass(), time, false, terms, slices, search[0], team, print,
+            asker.late())));
     return () -> broker.submit(new Event.Left(id));
   }
 
--- a/src/main/java/bitternpulley/platform/QueryFront.java
+++ b/src/main/java/bitternpulley/platform/QueryFront.java
@@ -68,7 +68,7 @@
       });
       broker.submit(new Event.Taken(new Request(id, servers, query.requestClass(), query.timeLeft(), query.retry(),
           Router.Terms.OF_CLASS, query.slices(), query, recognition.get().byClass(query.requestClass()),
-          print(request.body(), query.requestClass()))));
+          print(request.body(), query.requestClass()), new Router.Lateness(request.unread(), request.worstTurn()))));
     } catch (HttpException e) {
       exchange.reply(unusable(e.status(), e.getMessage()));
     }
--- a/src/main/java/bitternpulley/policy/Policy.java
+++ b/src/main/java/bitternpulley/policy/Policy.java
@@ -2,13 +2,13 @@
 // Decisions and tuned values are here, but for what lies in health; docs/design.md tells their origin.
 package bitternpulley.policy;
 
+import bitternpulley.health.Way;
 import bitternpulley.health.WindowCount;
 import bitternpulley.health.WorkEstimate;
 import bitternpulley.policy.State.Attempt;
 import bitternpulley.policy.State.PartState;
 import bitternpulley.policy.State.QueryState;
 import bitternpulley.policy.State.Server;
-import bitternpulley.policy.State.Way;
 import bitternpulley.routing.Router;
 import bitternpulley.routing.Settings;
 import java.util.ArrayList;
@@ -39,11 +39,6 @@
   private static final double CENSORED_AT = 0.9;
   /** Weight of a new latency in the smoothed one: about the last five answers speak. */
   private static final double SMOOTHING = 0.2;
-  /** The same for the latency of all servers of a zone, and for the share of its parts that are late. */
-  private static final double WAY_SMOOTHING = 0.05;
-  private static final double WAY_LOSS = 0.1;
-  /** So many times the figure so far is the most that one answer counts as in it. */
-  private static final double OUTLIER = 4;
 
   // --- Time and weight ---------------------------------------------------------------------------
   /** Sums of weights may fall short by rounding; half of what the rules forgive. */
@@ -118,9 +113,6 @@
   private static final double FIRST_LATENCY = 0.1;
   /** Ms unheard after which a part goes over a fresh connection: a handshake costs little of its work. */
   private static final double FRESH_AFTER = 700;
-  /** Share of fresh connections that may come too late, and what each part sent forgets of it. */
-  private static final double FRESH_LOSS_MOST = 0.25;
-  private static final double FRESH_FORGET = 0.02;
   /** Weight of one outcome in a smoothed failure rate, and the most that counts of any. */
   private static final double FAILURE_SMOOTHING = 0.15;
   private static final double FAILURE_MOST = 0.8;
@@ -131,14 +123,8 @@
   /** Ms a discovery call waits after an error, at first and at most. */
   private static final double WATCH_GAP = 500;
   private static final double WATCH_GAP_MOST = 4000;
-  /** Work a warm server is sure to do, in ms per ms: a little under two cores, since cores are not told. */
-  private static final double SURE_CORES = 1.8;
-  /** Share of a cold server's budget for parts that can wait. */
-  private static final double COLD_LOW = 0.7;
   /** Share of all limits that is for a process whose successor has taken over. */
   private static final double LEAVING_SHARE = 0.2;
-  /** Instances let to a cold server for each that has a part for it just then: most have none. */
-  private static final double TURN_MISSES = 1.5;
 
   private final Settings settings;
   private final Settings.Rules rules;
@@ -178,7 +164,7 @@
     this.rules = settings.rules();
     this.random = new Random(seed);
     this.lead = LEAD_TICKS * settings.tick();
-    this.fleet = new State.Fleet(settings.layout());
+    this.fleet = new State.Fleet(settings);
     settings.classes().forEach(c -> records.add(new ArrivalRecord[] {
         new ArrivalRecord(RECORD_STEPS, RECORD_AGE), new ArrivalRecord(RECORD_STEPS, RECORD_AGE)}));
     firstLatency = FIRST_LATENCY * settings.classes().stream().mapToDouble(c -> c.aim()).min().orElse(1);
@@ -222,11 +208,11 @@
   public void readmitted(Member m, double now, Actions out) {
     at(now, out);
     note(new Member(m.server(), m.zone(), m.cell(), m.state(), now));
-    fleet.get(m, rules.tipWindow()).owed = true;
+    fleet.get(m).owed = true;
   }
 
   private void note(Member m) {
-    Server s = fleet.get(m, rules.tipWindow());
+    Server s = fleet.get(m);
     if (s.trialGap == 0) {
       s.trialGap = TRIAL_GAP;
       s.tie = random.nextDouble() + (s.zone == settings.zone() ? 0 : 1);
@@ -235,7 +221,7 @@
     if (m.startedAt() > s.startedAt) {
       // A new process under an old id has nothing of the old one's latency or failures, and is cold.
       s.startedAt = m.startedAt();
-      s.coldSince = Math.max(s.coldSince, m.startedAt());
+      s.cold.startedAt(m.startedAt());
       s.forget();
     }
   }
@@ -267,8 +253,9 @@
       // The client's clock has run since its first try, and this one has what is left of the deadline.
       aim -= kind.deadline() - query.timeLeft();
     }
-    double end = now + query.timeLeft() - lead;
-    QueryState q = new QueryState(query, kind, now, Math.min(now + aim - lead, end), end);
+    double end = now + query.late().left(query.timeLeft(), lead);
+    aim -= query.late().unread() + lead;
+    QueryState q = new QueryState(query, kind, now, Math.min(now + aim, end), end);
     queries.put(query.id(), q);
     byNumber.put(query.number(), q);
     dirty.add(q);
@@ -311,7 +298,8 @@
     double reachable = 0;
     for (PartState p : q.parts) {
       Server s = pick(p, true);
-      if (s == null || tail * latency(s) <= room || suspect(s) && now >= s.trialAt) {
+      if (s == null ? opensAt(p, q.aimAt) + tail * usual <= q.aimAt
+          : tail * latency(s) <= room || suspect(s) && now >= s.trialAt) {
         reachable += p.part.weight();
       }
     }
@@ -409,7 +397,11 @@
     // Guards against a query of very many parts, each of whose answers would have all the others looked at.
     if (!finish(q) && now >= q.lookAt) {
       pursue(q);
-      wake(q);
+      if (hopeless(q)) {
+        giveUp(q);
+      } else {
+        wake(q);
+      }
     }
   }
 
@@ -452,10 +444,6 @@
       return false;
     }
     double in = q.in;
-    double lost = 0;
-    for (PartState p : q.missing) {
-      lost += isLost(p) ? p.part.weight() : 0;
-    }
     double need = q.step == 1 ? q.kind.wholeShare() : 1;
     if (q.missing.isEmpty() || (q.step == 1 && in >= need - ROUNDING)) {
       answer(q, q.whole);
@@ -467,14 +455,23 @@
       return true;
     }
     boolean worthless = q.kind.lateWorth() <= 0 && now >= q.aimAt;
-    boolean hopeless = 1 - lost < (q.kind.mayAnswerInPart() ? q.kind.leastShare() : need) - ROUNDING;
-    if (now >= q.endBy || worthless || hopeless || q.culprit) {
+    if (now >= q.endBy || worthless || q.culprit || hopeless(q)) {
       giveUp(q);
       return true;
     }
     return false;
   }
 
+  /** Guards against silence where what can still come is too little for an answer: it is given up at once. */
+  private boolean hopeless(QueryState q) {
+    double need = q.step == 1 ? q.kind.wholeShare() : 1;
+    double hope = 1 + ROUNDING - (q.kind.mayAnswerInPart() ? q.kind.leastShare() : need);
+    for (PartState p : q.missing) {
+      hope -= isLost(p) ? p.part.weight() : 0;
+    }
+    return hope < 0;
+  }
+
   /** When the wait ends as things stand: T*, or the extension while any of the t heaviest is missing. */
   private double waitEnd(QueryState q, double in) {
     // Cost past the aim: no wait goes beyond it where a late whole answer pays less than what is in hand.
@@ -590,6 +587,7 @@
   private void pursue(QueryState q) {
     for (PartState p : q.missing) {
       if (p.openCount == 0) {
+        p.opensAt = now;
         if (p.attempts.isEmpty() || mayTryAgain(p, false)) {
           send(p, pick(p, true));
         }
@@ -607,6 +605,7 @@
 
   private void send(PartState p, Server s) {
     if (s == null) {
+      p.opensAt = opensAt(p, p.query.endBy);
       wakeAt(p.query, now + HOLD);
       return;
     }
@@ -624,18 +623,16 @@
     if (s.out.isEmpty() && now - s.lastHeard > FRESH_AFTER && !suspect(s)) {
       // Guards against connections that die silently while idle and swallow what is sent next, unless new
       // ones are what fails: then the open ones are kept.
-      Way way = way(s.zone);
-      a.fresh = way.freshLoss <= FRESH_LOSS_MOST && settings.prices().handshake() <= 0;
-      way.freshLoss *= 1 - FRESH_FORGET;
+      a.fresh = way(s.zone).trustsFresh() && settings.prices().handshake() <= 0;
       if (a.fresh) {
         out.close(s.id);
       }
     }
     s.owed = false;
-    a.alone = s.out.isEmpty() && warmth(s) >= 1 && !s.slow;
+    a.alone = s.out.isEmpty() && s.cold.warmth(now) >= 1 && !s.slow;
     s.out.add(a);
     partsOut++;
-    s.coldWork.add(now, work(p));
+    s.cold.sent(now, work(p));
     double end = p.query.kind.lateWorth() > 0 ? p.query.endBy : p.query.aimAt;
     out.send(p.part.id(), s.id, Math.max(1, end - now + settings.tick()));
   }
@@ -647,16 +644,17 @@
     int bestRank = 0;
     for (Server s : fleet.holders(p.part.shard())) {
       // Guards against parts that use up their attempts within a moment, on a server that ends each at once.
-      boolean barred = s.down && now < s.trialAt || p.barred(s, now, FULL_FOR * usual)
+      boolean barred = s.down && now < s.trialAt || now < p.barredUntil(s, FULL_FOR * usual)
           || forSend && s.slow && !s.room.takes(s.out.size(), canWait(p.query), now);
-      if (s.state != ServerState.LIVE || barred || now < s.fullUntil || !coldAllows(s, p) || p.openAt(s)) {
+      if (s.state != ServerState.LIVE || barred || now < s.fullUntil || p.openAt(s)
+          || !s.cold.allows(work(p), canWait(p.query), share, now)) {
         continue;
       }
       // Guards against a server let back in that is passed by for good, since a cold one looks slow.
       boolean trial = forSend && (s.owed || suspect(s) && now >= s.trialAt);
       int rank = p.tried(s) || suspect(s) && !trial ? 1 : 0;
       double far = s.zone == settings.zone() ? 0 : ZONE_BAND * settings.prices().crossZone();
-      double arrives = 1 - Math.min(way(s.zone).lost, FAILURE_MOST);
+      double arrives = way(s.zone).arrives();
       double cost = trial ? 0 : expected(s) * (s.out.size() + 1) * (1 + far) / (arrives * arrives);
       if (best == null || rank < bestRank || rank == bestRank
           && (cost < bestCost || cost == bestCost && s.tie < best.tie)) {
@@ -668,6 +666,23 @@
     return best;
   }
 
+  /**
+   * When a holder could take a part that none takes now, as far as its state tells: at a trial, as a queue
+   * moves, at a turn with a cold one. Infinity where not by {@code until}. Guards against silence to the end.
+   */
+  private double opensAt(PartState p, double until) {
+    double first = Double.POSITIVE_INFINITY;
+    for (Server s : fleet.holders(p.part.shard())) {
+      double at = Math.max(now, Math.max(s.fullUntil, p.barredUntil(s, FULL_FOR * usual)));
+      at = Math.max(s.down ? Math.max(at, s.trialAt) : at,
+          s.slow ? s.room.opensAt(s.out.size(), canWait(p.query), now) : now);
+      at = s.state != ServerState.LIVE || at >= first ? first
+          : s.cold.opensAt(work(p), canWait(p.query), share, at, until);
+      first = Math.min(first, at);
+    }
+    return first;
+  }
+
   /** A part that only serves a late answer, or one that may be given though all that is unsent stays so. */
   private boolean canWait(QueryState q) {
     boolean early = now < q.stepStart + LATE_FACTOR * usual;
@@ -712,12 +727,11 @@
     }
   }
 
-  /** What is late speaks against its way at once, not only when it is given up. */
   private void late(Attempt a) {
     if (!a.late && now >= a.sent + LATE_FACTOR * usual) {
       a.late = true;
       partsOut--;
-      way(a.server.zone).lost += WAY_LOSS * (1 - way(a.server.zone).lost);
+      way(a.server.zone).late();
     }
   }
 
@@ -737,10 +751,11 @@
     return !rules.budgeted() || extras.sum(now) + 1 <= allowed * (copy ? COPY_BUDGET : 1);
   }
 
-  /** A part that has no attempt out and may have none any more. */
+  /** A part that has no attempt out and may have none any more, or can have none in time. */
   private boolean isLost(PartState p) {
-    if (p.openCount > 0 || p.attempts.isEmpty()) {
-      return false;
+    boolean inTime = p.opensAt + usual <= p.query.endBy;
+    if (p.openCount > 0 || !inTime || p.attempts.isEmpty()) {
+      return p.openCount == 0 && !inTime;
     }
     boolean spent = p.attempts.size() >= settings.limits().maxAttempts();
     return spent || p.mayHaveRun() && switch (p.query.kind.effect()) {
@@ -792,7 +807,7 @@
     // A dead process refuses at once; what takes so long is the way or the handshake.
     boolean noWay = e.outcome() == Outcome.UNREACHABLE && took > settings.limits().connectTimeout() / 2;
     if (a.fresh || noWay && !suspect(s)) {
-      way(s.zone).freshLoss += FAILURE_SMOOTHING * ((noWay ? 1 : 0) - way(s.zone).freshLoss);
+      way(s.zone).fresh(noWay);
     }
     if (e.outcome() == Outcome.OK || took > TIMELY_SHARE * a.part.query.kind.aim()) {
       steerWindow(a, took);
@@ -803,10 +818,14 @@
         s.room.answered(a.sent, took <= TIMELY_SHARE * a.part.query.kind.aim(), s.out.size(), now);
         smooth(s, took);
         estimate.answered(took, a.alone);
-        way(s.zone).lost *= a.late ? 1 : 1 - WAY_LOSS;
+        if (!a.late) {
+          way(s.zone).inTime();
+        }
         s.failures *= 1 - FAILURE_SMOOTHING;
         // Back from refusals: whatever the list says, the process is young.
-        s.coldSince = s.down ? now : s.coldSince;
+        if (s.down) {
+          s.cold.startedAt(now);
+        }
         s.down = false;
         s.streak = 0;
         s.trialGap = TRIAL_GAP;
@@ -843,22 +862,13 @@
 
   private void smooth(Server s, double took) {
     Way way = way(s.zone);
-    s.latency = s.latency == 0 ? way.latency : s.latency;
+    s.latency = s.latency == 0 ? way.latency() : s.latency;
     s.latency += SMOOTHING * (took - s.latency);
-    smooth(way, took);
+    way.took(took);
+    usual = ways.stream().mapToDouble(Way::heardLatency).min().orElse(usual);
     s.slow = s.latency > (s.slow ? SLOW_STILL : SLOW_ALONE) * usual;
   }
 
-  /** A single outlier hardly moves a zone's figure: it is the server's or the query's own. */
-  private void smooth(Way way, double took) {
-    way.latency += WAY_SMOOTHING * (Math.min(took, OUTLIER * way.latency) - way.latency);
-    way.heard = true;
-    usual = Double.POSITIVE_INFINITY;
-    for (Way w : ways) {
-      usual = w.heard ? Math.min(usual, w.latency) : usual;
-    }
-  }
-
   /** A failure says nothing of speed, so that quick errors do not make a server look fast. */
   private void failed(Server s) {
     s.failures += FAILURE_SMOOTHING * (1 - s.failures);
@@ -906,7 +916,7 @@
 
   /** Smoothed latency, at least the silence that the oldest part out has met. */
   private double latency(Server s) {
-    double latency = way(s.zone).latency / warmth(s);
+    double latency = way(s.zone).latency() / s.cold.warmth(now);
     if (s.latency > 0) {
       double unheard = s.out.size() > 0 ? 0 : now - Math.max(s.lastHeard, 0);
       latency += (s.latency - latency) * Math.pow(0.5, unheard / FORGET_HALF);
@@ -920,29 +930,6 @@
     return s.out.isEmpty() ? 0 : now - s.out.iterator().next().sent;
   }
 
-  /**
-   * A cold server gets no more work in a window than this instance's share of what it can bear. Where that is
-   * less than a part, instances take turns by number, counted from the server's start: nothing is agreed.
-   */
-  private boolean coldAllows(Server s, PartState p) {
-    double warm = warmth(s);
-    if (warm >= 1 || rules.tipMultiple() <= 0) {
-      return true;
-    }
-    double mine = share * rules.tipMultiple() * warm * SURE_CORES * rules.tipWindow() / settings.instances();
-    double sent = s.coldWork.sum(now);
-    long turns = Math.max(1, (long) Math.ceil(work(p) / mine / TURN_MISSES));
-    long turn = (long) (Math.max(0, now - s.coldSince) / rules.tipWindow());
-    return sent + work(p) <= mine * (canWait(p.query) ? COLD_LOW : 1)
-        || sent == 0 && (settings.self() + turn) % turns == 0;
-  }
-
-  /** The share of its capacity that a server is sure to have, by the time since its start. */
-  private double warmth(Server s) {
-    double age = Math.max(0, now - s.coldSince);
-    return age >= rules.coldTime() ? 1 : rules.coldFrom() + (1 - rules.coldFrom()) * age / rules.coldTime();
-  }
-
   /** The work of a part: as hinted, else by what answers take. */
   private double work(PartState p) {
     return p.part.work() > 0 ? p.part.work() : estimate.work(usual);
--- a/src/main/java/bitternpulley/policy/State.java
+++ b/src/main/java/bitternpulley/policy/State.java
@@ -1,7 +1,7 @@
 package bitternpulley.policy;
 
+import bitternpulley.health.ColdBudget;
 import bitternpulley.health.ServerRoom;
-import bitternpulley.health.WindowCount;
 import bitternpulley.routing.Router;
 import bitternpulley.routing.Settings;
 import java.util.ArrayList;
@@ -33,10 +33,9 @@
     double fullUntil = Double.NEGATIVE_INFINITY;
     double brokenAt = Double.NEGATIVE_INFINITY;
     double lastHeard = Double.NEGATIVE_INFINITY;
-    double coldSince = Double.NEGATIVE_INFINITY;
     double trialAt;
     double trialGap;
-    WindowCount coldWork;
+    ColdBudget cold;
     final ServerRoom room = new ServerRoom();
     final Set<Attempt> out = new LinkedHashSet<>();
 
@@ -54,12 +53,14 @@
 
   /** The servers known, by name and by the shards they hold. */
   static final class Fleet {
+    private final Settings settings;
     private final Settings.Layout layout;
     private final Map<String, Server> byName = new LinkedHashMap<>();
     private final List<List<Server>> cells = new ArrayList<>();
 
-    Fleet(Settings.Layout layout) {
-      this.layout = layout;
+    Fleet(Settings settings) {
+      this.settings = settings;
+      this.layout = settings.layout();
       for (int i = 0; i < layout.cells(); i++) {
         cells.add(new ArrayList<>());
       }
@@ -70,12 +71,12 @@
     }
 
     /** The server of a list entry, new where it was not known. */
-    Server get(Router.Member m, double coldWindow) {
+    Server get(Router.Member m) {
       return byName.computeIfAbsent(m.server(), id -> {
         Server s = new Server();
         s.id = id;
         s.zone = m.zone();
-        s.coldWork = new WindowCount(coldWindow);
+        s.cold = new ColdBudget(settings);
         cells.get(Math.floorMod(m.cell(), cells.size())).add(s);
         return s;
       });
@@ -98,18 +99,6 @@
     }
   }
 
-  /** What is known of the way to the servers of one zone. */
-  static final class Way {
-    double latency;
-    boolean heard;
-    double lost;
-    double freshLoss;
-
-    Way(double latency) {
-      this.latency = latency;
-    }
-  }
-
   /** One attempt of a part. */
   static final class Attempt {
     final PartState part;
@@ -143,6 +132,8 @@
     double due = Double.POSITIVE_INFINITY;
     boolean in;
     int openCount;
+    /** From when on a holder could take it, where none could when it was last looked for. */
+    double opensAt;
 
     PartState(Router.Part part, QueryState query) {
       this.part = part;
@@ -171,10 +162,11 @@
       return openCount > 0 && attempts.stream().anyMatch(a -> a.open && a.server == s);
     }
 
-    /** Whether it was turned away there and is to wait: so many gaps as the square of its attempts so far. */
-    boolean barred(Server s, double now, double gap) {
+    /** Till when it is to wait where it was turned away: so many gaps as the square of its attempts so far. */
+    double barredUntil(Server s, double gap) {
       double wait = attempts.size() * attempts.size() * gap;
-      return wait > 0 && attempts.stream().anyMatch(a -> a.server == s && a.neverRan && !a.open && now < a.sent + wait);
+      return attempts.stream().filter(a -> a.server == s && a.neverRan && !a.open).mapToDouble(a -> a.sent + wait).max()
+          .orElse(Double.NEGATIVE_INFINITY);
     }
 
     boolean mayHaveRun() {
--- a/src/main/java/bitternpulley/routing/Router.java
+++ b/src/main/java/bitternpulley/routing/Router.java
@@ -37,15 +37,30 @@
   /** One server of a list; {@code startedAt} 0 means long ago. */
   record Member(String server, int zone, int cell, ServerState state, double startedAt) {}
 
+  /**
+   * How late the instance itself was with a query: ms for which its bytes may have lain unread, and by which the
+   * instance's turns came late of late, which its answer may meet as well.
+   */
+  record Lateness(double unread, double turns) {
+    public static final Lateness NONE = new Lateness(0, 0);
+    /** Share of a client's time that is kept for turns which come late, however late they came. */
+    private static final double TURNS_MOST = 0.125;
+
+    /** Of the ms that a client said it would wait, those until its answer has to leave; {@code lead} of them at least are for its way. */
+    public double left(double told, double lead) {
+      return told - unread - Math.max(lead, Math.min(turns, TURNS_MOST * told));
+    }
+  }
+
   /** A query taken; its parts follow under the same number. */
   record Query(
       long id, long number, int queryClass, int parts, double work, boolean retry, double timeLeft, int tenant,
-      Terms terms) {
+      Terms terms, Lateness late) {
 
     /** A query on its class's own terms. */
     public Query(
         long id, long number, int queryClass, int parts, double work, boolean retry, double timeLeft, int tenant) {
-      this(id, number, queryClass, parts, work, retry, timeLeft, tenant, Terms.OF_CLASS);
+      this(id, number, queryClass, parts, work, retry, timeLeft, tenant, Terms.OF_CLASS, Lateness.NONE);
     }
   }
 
--- a/src/test/java/bitternpulley/net/HttpServerTest.java
+++ b/src/test/java/bitternpulley/net/HttpServerTest.java
@@ -9,6 +9,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -159,4 +162,54 @@
       assertEquals(all.split("HTTP/1.1 200 OK", -1).length, 3, all);
     }
   }
+
+  /**
+   * Guards against an answer that is decided at its time, in an alarm's turn, and goes out only when all that has come in
+   * before is dealt with.
+   */
+  @Test
+  public void anAlarmsAnswerDoesNotWaitForWhatHasComeIn() throws Exception {
+    EventLoop loop = new EventLoop();
+    int busy = 40;
+    AtomicInteger dealtWith = new AtomicInteger();
+    CountDownLatch taken = new CountDownLatch(1);
+    HttpServer server = new HttpServer(loop, 100, 100, HttpServer.Times.USUAL, new HttpServer.Handler() {
+      @Override
+      public void handle(HttpServer.Request request, HttpServer.Exchange exchange) {
+        if (request.head().target().equals("/alarm")) {
+          taken.countDown();
+          loop.after(100, () -> exchange.reply(unusable(200, String.valueOf(dealtWith.get()))));
+          return;
+        }
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(20);
+        while (System.nanoTime() < end) {
+          Thread.onSpinWait();
+        }
+        dealtWith.incrementAndGet();
+        exchange.reply(unusable(200, "fine"));
+      }
+
+      @Override
+      public HttpServer.Response unusable(int status, String reason) {
+        return HttpServerTest.this.unusable(status, reason);
+      }
+    });
+    at = server.listen(new HostPort("127.0.0.1", 0));
+    List<Socket> all = new ArrayList<>();
+    for (int i = 0; i < busy; i++) {
+      all.add(connect(""));
+    }
+    try (Socket waits = connect("GET /alarm HTTP/1.1\r\n\r\n")) {
+      assertTrue(taken.await(PATIENCE_MS, TimeUnit.MILLISECONDS));
+      for (Socket s : all) {
+        s.getOutputStream().write("GET /busy HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+      }
+      firstLine(waits);
+      assertTrue(dealtWith.get() < busy / 2, "answered after " + dealtWith.get() + " of " + busy + " others");
+    } finally {
+      for (Socket s : all) {
+        s.close();
+      }
+    }
+  }
 }
