--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run measure-contracts bench-contracts
+.PHONY: build test lint run measure-contracts bench-contracts measure-membership
 
 build:
 	mvn -q -DskipTests package
@@ -17,6 +17,10 @@
 measure-contracts: build
 	java -cp target/bitternpulley.jar bitternpulley.measure.MeasureContracts $(SEED)
 
+# Seven processes with faults between them; the last line is one JSON object (docs/membership.md).
+measure-membership: build
+	java -cp target/bitternpulley.jar bitternpulley.measure.MeasureMembership $(SEED)
+
 # JMH; not in CI.
 bench-contracts:
 	mvn -q -Pbench -DskipTests -Dbench=AdmissionBenchmark test-compile exec:exec
--- a/deploy/broker.star
+++ b/deploy/broker.star
@@ -15,5 +15,8 @@
     },
 )
 
+# Who of the other aggregators is here (docs/membership.md); on = False: off.
+membership(on = False)
+
 # Whether the operators' door lists the accounts (call: accounts).
 accounts(list = True)
--- a/src/main/java/bitternpulley/Aggregator.java
+++ b/src/main/java/bitternpulley/Aggregator.java
@@ -21,6 +21,7 @@
 import bitternpulley.net.PassedListener;
 import bitternpulley.opensearch.SearchFront;
 import bitternpulley.opensearch.SearchServers;
+import bitternpulley.peers.Peers;
 import bitternpulley.platform.Discovery;
 import bitternpulley.platform.Preparation;
 import bitternpulley.platform.QueryFront;
@@ -64,6 +65,7 @@
   private final Discovery discovery;
   private final Preparation preparation;
   private final Door door;
+  private final Optional<Peers> peers;
   private boolean anyServer;
   private boolean draining;
   private boolean quiesced;
@@ -95,6 +97,7 @@
     front = new HttpServer(loop, MOST_BODY, clients, HttpServer.Times.USUAL, queries);
     search = searchConfig.map(c -> searchSide(c, connectTimeout, links, clients));
     door = new Door(loop, broker, new StandingFile(config.operations().folder()), this);
+    peers = agreed.membership().map(m -> new Peers(loop, broker, config, m, build()));
     discovery = new Discovery(loop, config.discovery(), config.zones(), config.known().revision(),
         list -> {
           listed = true;
@@ -102,6 +105,10 @@
         });
   }
 
+  private static String build() {
+    return Optional.ofNullable(Aggregator.class.getPackage().getImplementationVersion()).orElse("unpacked");
+  }
+
   private SearchSide searchSide(SearchConfiguration c, double connectTimeout, int links, int clients) {
     HttpClient client = new HttpClient(loop, c.maxPartBytes(), links, connectTimeout, config.wire().idleAfter());
     SearchServers to = new SearchServers(loop, broker, client, c.serverPort());
@@ -129,6 +136,9 @@
     try {
       Configuration config = ConfigurationReader.read(System.getenv());
       BrokerConfiguration agreed = BrokerConfigurationReader.read(System.getenv(), config.settings());
+      if (agreed.membership().isPresent()) {
+        config.checkPeers();
+      }
       aggregator = new Aggregator(config, agreed,
           SearchConfigurationReader.read(System.getenv(), config.settings(), agreed.search()));
     } catch (ConfigException e) {
@@ -171,6 +181,7 @@
     told(config.known(), Router.ListKind.REMEMBERED);
     broker.submit(new Event.Agreed(agreed.book()));
     discovery.start();
+    peers.ifPresent(Peers::begin);
     // Few aggregators: each is missed, so clients are served at once. Very many, short of discovery: a moment later.
     boolean atOnce = !config.wire().dear() && !config.operations().passedSocket();
     if (atOnce) {
@@ -324,6 +335,7 @@
       LOG.log(Level.INFO, "draining");
       draining = true;
       front.drain();
+      peers.ifPresent(Peers::end);
       search.ifPresent(s -> s.front().drain());
       if (config.operations().passedSocket()) {
         // What comes from now on is for the process that takes over.
--- a/src/main/java/bitternpulley/broker/Broker.java
+++ b/src/main/java/bitternpulley/broker/Broker.java
@@ -1,9 +1,11 @@
 package bitternpulley.broker;
 
+import bitternpulley.membership.Membership;
 import java.lang.System.Logger.Level;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 /** Feeds events to the reducer one by one and has its effects carried out. Lives on one thread. */
 public final class Broker {
@@ -20,6 +22,7 @@
   private final List<Dialect> dialects = new ArrayList<>();
   private final ArrayDeque<Event> waiting = new ArrayDeque<>();
   private Operators operators;
+  private PeerWire peers;
   private boolean busy;
   private long lastId;
 
@@ -39,6 +42,16 @@
     this.operators = operators;
   }
 
+  /** Says who carries what other aggregators are told. */
+  public void peers(PeerWire peers) {
+    this.peers = peers;
+  }
+
+  /** Who is here, as this instance holds it; empty where membership is off or has not begun. */
+  public Optional<Membership> membership() {
+    return reducer.membership();
+  }
+
   /** A fresh id for a request. */
   public long nextId() {
     return ++lastId;
@@ -99,6 +112,8 @@
         LOG.log(Level.DEBUG, () -> ContractLog.judged(e));
       } else if (effect instanceof Effect.Settled e) {
         LOG.log(Level.DEBUG, () -> ContractLog.settled(e));
+      } else if (effect instanceof Effect.Tell e) {
+        peers.tell(e);
       } else if (effect instanceof Effect.Log e) {
         LOG.log(Level.INFO, e.text());
       }
--- a/src/main/java/bitternpulley/broker/Effect.java
+++ b/src/main/java/bitternpulley/broker/Effect.java
@@ -2,6 +2,7 @@
 
 import bitternpulley.contracts.Charge;
 import bitternpulley.contracts.Verdict;
+import bitternpulley.membership.Message;
 import bitternpulley.routing.Router;
 import java.util.Map;
 
@@ -40,6 +41,9 @@
   /** Note that a request's charge is settled: nothing of it is out any more. */
   record Settled(Charge charge) implements Effect {}
 
+  /** Tell another aggregator something, which may be lost. */
+  record Tell(int to, Message message) implements Effect {}
+
   /** Write a line to the log. */
   record Log(String text) implements Effect {}
 
--- a/src/main/java/bitternpulley/broker/Event.java
+++ b/src/main/java/bitternpulley/broker/Event.java
@@ -1,6 +1,8 @@
 package bitternpulley.broker;
 
 import bitternpulley.contracts.ContractBook;
+import bitternpulley.membership.Membership;
+import bitternpulley.membership.Message;
 import bitternpulley.routing.Router;
 import java.util.List;
 
@@ -47,6 +49,18 @@
   /** Other contracts are in force from now on. */
   record Agreed(ContractBook book) implements Event {}
 
+  /** From now on there are other aggregators, and this instance's part in finding out who of them is here. */
+  record PeersBegin(Membership membership) implements Event {}
+
+  /** Membership's beat, which is due each {@link Membership#tickEvery} ms. */
+  record PeersTick() implements Event {}
+
+  /** Another aggregator has said something. */
+  record PeerSaid(Message message) implements Event {}
+
+  /** This instance is to tell the others that it goes. */
+  record PeersLeave() implements Event {}
+
   /** An alarm that the module set is due. */
   record Alarm(String token) implements Event {}
 }
--- a/src/main/java/bitternpulley/broker/Held.java
+++ b/src/main/java/bitternpulley/broker/Held.java
@@ -14,12 +14,15 @@
     /** Null where no contracts are in force. */
     final Charge charge;
     final double endsAt;
+    /** From when on an end without an answer counts as out of time. */
+    final double lateFrom;
     final long firstPart;
     final TreeMap<Integer, Payload> values = new TreeMap<>();
     /** When an attempt of it is looked at for being overdue. */
     double overdueAt = Double.POSITIVE_INFINITY;
 
-    Open(Request request, Charge charge, double endsAt, long firstPart) {
+    Open(Request request, Charge charge, double endsAt, double lateFrom, long firstPart) {
+      this.lateFrom = lateFrom;
       this.request = request;
       this.charge = charge;
       this.endsAt = endsAt;
--- a/src/main/java/bitternpulley/broker/Reducer.java
+++ b/src/main/java/bitternpulley/broker/Reducer.java
@@ -5,6 +5,8 @@
 import bitternpulley.broker.Held.Part;
 import bitternpulley.contracts.Charge;
 import bitternpulley.contracts.Verdict;
+import bitternpulley.membership.Membership;
+import bitternpulley.membership.Output;
 import bitternpulley.policy.Policy;
 import bitternpulley.routing.Router;
 import bitternpulley.routing.Settings;
@@ -14,6 +16,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.TreeMap;
 
@@ -24,7 +27,7 @@
 public final class Reducer {
   private static final System.Logger LOG = System.getLogger(Reducer.class.getName());
 
-  /** Ms before a client's end from which an end without an answer counts as out of time. */
+  /** Ms before a client's end from which an end without an answer counts as out of time: more where answers leave earlier. */
   private static final double LATE = 100;
 
   private final Settings settings;
@@ -35,6 +38,7 @@
   private final Recorder recorder = new Recorder();
   private final Roster roster = new Roster();
   private final Accounts accounts;
+  private Membership membership;
   private List<Effect> effects = new ArrayList<>();
   private long nextPart = 1;
   private int partsHeld;
@@ -57,6 +61,11 @@
     return accounts;
   }
 
+  /** Who of the other aggregators is here; empty where membership is off. */
+  public Optional<Membership> membership() {
+    return Optional.ofNullable(membership);
+  }
+
   /** Takes one event and returns what is to be done, in order. */
   public List<Effect> reduce(Event event, double at) {
     now = Math.max(now, at);
@@ -112,11 +121,25 @@
       overdue(e);
     } else if (event instanceof Event.Beside e) {
       router.beside(e.other());
+    } else if (event instanceof Event.PeersBegin e) {
+      membership = e.membership();
+    } else if (event instanceof Event.PeersTick) {
+      peers(membership.tick(now));
+    } else if (event instanceof Event.PeerSaid e) {
+      peers(membership.heard(e.message(), now));
+    } else if (event instanceof Event.PeersLeave && membership != null) {
+      peers(membership.leave(now));
     } else if (event instanceof Event.Alarm e) {
       router.alarm(e.token(), now, recorder);
     }
   }
 
+  private void peers(List<Output> outputs) {
+    for (Output o : outputs) {
+      effects.add(o instanceof Output.Send s ? new Effect.Tell(s.to(), s.message()) : new Effect.Log(o.toString()));
+    }
+  }
+
   /** The module hears of what changed; a list that clears a server also tells it. */
   private void stands(Standing fresh) {
     Roster.Change change = roster.stands(fresh);
@@ -160,7 +183,7 @@
   private void hold(Request r, Charge charge) {
     Router.Terms terms = charge == null ? r.terms() : r.terms().under(charge.terms());
     double timeLeft = charge == null ? r.timeLeft() : Math.min(r.timeLeft(), charge.terms().deadline());
-    Open open = new Open(r, charge, now + timeLeft - r.late().unread(), nextPart);
+    Open open = new Open(r, charge, now + timeLeft - r.late().unread(), now + r.late().left(timeLeft, LATE), nextPart);
     requests.put(r.id(), open);
     nextPart += r.slices().size();
     partsHeld += r.slices().size();
@@ -269,7 +292,7 @@
     // Given up a little earlier, since nothing could come in time any more, it is out of time all the same.
     boolean unanswered = !missing.isEmpty() && missing.values().stream().allMatch(
         m -> m.outcome() == Router.Outcome.TIMEOUT || m.outcome() == Router.Outcome.CANCELLED);
-    return new Effect.Answer.Ending(unanswered || now >= open.endsAt - LATE, mayHaveRun, missing);
+    return new Effect.Answer.Ending(unanswered || now >= open.lateFrom, mayHaveRun, missing);
   }
 
   private Open forget(long id) {
--- a/src/main/java/bitternpulley/config/Configuration.java
+++ b/src/main/java/bitternpulley/config/Configuration.java
@@ -9,7 +9,25 @@
 /** All that one aggregator is told at its start, checked. {@code known} is the list it last held. */
 public record Configuration(
     String name, HostPort listen, HostPort discovery, long seed, int sockets, ServerList known, Settings settings,
-    Wire wire, List<String> zones, Operations operations) {
+    Wire wire, List<String> zones, Operations operations, Optional<Peers> peers) {
+
+  /** Aggregators that membership bears. */
+  private static final int MOST_PEERS = 2048;
+
+  /** Where other aggregators' datagrams arrive, and where each of them is told something, in the order of their numbers. */
+  public record Peers(HostPort listen, List<HostPort> all) {}
+
+  /** Throws ConfigException where membership is to run and what it needs is missing or contradicts the settings. */
+  public void checkPeers() {
+    if (peers.isEmpty()) {
+      throw new ConfigException("membership() needs 'peer_listen' and 'peers', and 'peer_listen' is missing");
+    }
+    int count = peers.get().all().size();
+    if (count <= settings.self() || count > MOST_PEERS) {
+      throw new ConfigException("'peers' names " + count + " aggregators, of which this one is number " + settings.self()
+          + "; at most " + MOST_PEERS + " can be named");
+    }
+  }
 
   /**
    * Where operators call, and the folder that outlives the process; each may be missing. And whether clients come by a
--- a/src/main/java/bitternpulley/config/ConfigurationReader.java
+++ b/src/main/java/bitternpulley/config/ConfigurationReader.java
@@ -53,7 +53,24 @@
             named("settings", () -> Fields.figure(settings.path("costs"), "handshake", 0)) > 0), zones,
         new Configuration.Operations(admin(environment, in),
             Optional.ofNullable(environment.get("TMPDIR")).filter(f -> !f.isEmpty()).map(Path::of),
-            !environment.getOrDefault("LB_PASSED_SOCKET", "").isEmpty()));
+            !environment.getOrDefault("LB_PASSED_SOCKET", "").isEmpty()), peers(in));
+  }
+
+  private static Optional<Configuration.Peers> peers(JsonNode in) {
+    if (in.path("peer_listen").asText("").isEmpty()) {
+      return Optional.empty();
+    }
+    List<HostPort> all = new ArrayList<>();
+    in.path("peers").forEach(p -> all.add(address("peers", p.asText(""))));
+    return Optional.of(new Configuration.Peers(address("peer_listen", in.path("peer_listen").asText()), List.copyOf(all)));
+  }
+
+  private static HostPort address(String key, String text) {
+    try {
+      return HostPort.parse(text);
+    } catch (IllegalArgumentException e) {
+      throw new ConfigException("'" + key + "': " + e.getMessage());
+    }
   }
 
   /**
--- a/src/main/java/bitternpulley/config/ContractsReader.java
+++ b/src/main/java/bitternpulley/config/ContractsReader.java
@@ -45,8 +45,9 @@
     }
     Recognition recognition = reader.contracts.isEmpty() ? Recognition.NONE
         : new Recognition(reader.keys, reader.byIndex, reader.byClass, reader.fallback != null);
-    return new BrokerConfiguration(new ContractBook(1, reader.contracts, reader.fallback), recognition, Optional.ofNullable(document.get("opensearch")),
-        document.path("accounts").path("list").asBoolean(false), document, script.printed());
+    return new BrokerConfiguration(new ContractBook(1, reader.contracts, reader.fallback), recognition,
+        Optional.ofNullable(document.get("opensearch")), document.path("accounts").path("list").asBoolean(false),
+        MembershipReader.read(script), document, script.printed());
   }
 
   private void contract(JsonNode in, String at) {
--- /dev/null
+++ b/src/main/java/bitternpulley/config/MembershipReader.java
@@ -0,0 +1,29 @@
+package bitternpulley.config;
+
+import bitternpulley.membership.Terms;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Optional;
+
+/** Reads {@code membership()} of the operators' script. */
+final class MembershipReader {
+  private MembershipReader() {}
+
+  /** Empty where the script has none, or has it off. */
+  static Optional<MembershipConfiguration> read(BrokerScript script) {
+    JsonNode in = script.document().path("membership");
+    if (in.isMissingNode() || !in.path("on").asBoolean(true)) {
+      return Optional.empty();
+    }
+    Terms usual = Terms.USUAL;
+    double interval = in.path("interval_ms").asDouble(usual.interval());
+    double timeout = in.path("timeout_ms").asDouble(usual.timeout());
+    if (3 * timeout > interval) {
+      // Guards against probes of which one is still under way when the next is due: each takes up to three timeouts.
+      throw script.fault("/membership/timeout_ms", "is over a third of interval_ms, which is " + interval);
+    }
+    return Optional.of(new MembershipConfiguration(new Terms(interval, timeout, in.path("relays").asInt(usual.relays()),
+        in.path("suspicion_intervals").asDouble(usual.suspicion()),
+        1000 * in.path("alone_after_s").asDouble(usual.aloneAfter() / 1000)),
+        in.path("region").asText(""), in.path("deployment").asText("")));
+  }
+}
--- a/src/main/java/bitternpulley/measure/MeasureContracts.java
+++ b/src/main/java/bitternpulley/measure/MeasureContracts.java
@@ -54,23 +54,7 @@
   }
 
   public static void main(String[] args) {
-    // Whatever happens, it ends: the loops' threads would keep a program alive that has failed.
-    new Thread(() -> {
-      try {
-        TimeUnit.SECONDS.sleep(MOST_SECONDS);
-        System.err.println("took longer than " + MOST_SECONDS + " s");
-      } catch (InterruptedException e) {
-        // ended all the same
-      }
-      Runtime.getRuntime().halt(1);
-    }, "end").start();
-    try {
-      measure(args);
-      System.exit(0);
-    } catch (Exception e) {
-      e.printStackTrace();
-      System.exit(1);
-    }
+    Bounded.run(MOST_SECONDS, () -> measure(args));
   }
 
   private static void measure(String[] args) throws Exception {
--- /dev/null
+++ b/src/main/java/bitternpulley/measure/MeasureMembership.java
@@ -0,0 +1,129 @@
+package bitternpulley.measure;
+
+import bitternpulley.faults.Callers;
+import bitternpulley.faults.Cluster;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+
+/**
+ * Seven processes under query load find out who of them is here, while by seed one is stopped, one killed, datagrams are lost
+ * and late, two hear each other one way, and a minority is cut off. Every verdict is read from the processes' own logs.
+ */
+final class MeasureMembership {
+  private static final int NODES = 7;
+  private static final int MOST_SECONDS = 40;
+  private static final double PER_SECOND = 40;
+  private static final double PATIENCE = 20_000;
+
+  private final long seed;
+  private final Random random;
+  private final Cluster cluster;
+  private final Callers callers;
+  private final List<Double> detected = new ArrayList<>();
+  private double bytesPerSecond;
+
+  private MeasureMembership(long seed) throws Exception {
+    this.seed = seed;
+    random = new Random(seed);
+    cluster = new Cluster("measure-membership", NODES, seed, "membership(deployment = 'measure')\n",
+        "make measure-membership SEED=" + seed);
+    callers = new Callers(cluster, seed, PER_SECOND);
+  }
+
+  public static void main(String[] args) {
+    Bounded.run(MOST_SECONDS, () -> {
+      long seed = args.length > 0 && !args[0].isEmpty() ? Long.parseLong(args[0]) : 1;
+      try (MeasureCloser m = new MeasureCloser(new MeasureMembership(seed))) {
+        System.out.println(m.measure.measure());
+      }
+    });
+  }
+
+  /** Ends the processes, whatever became of the measurement. */
+  private record MeasureCloser(MeasureMembership measure) implements AutoCloseable {
+    @Override
+    public void close() throws IOException {
+      measure.cluster.close();
+    }
+  }
+
+  private ObjectNode measure() throws Exception {
+    cluster.until("all find each other", PATIENCE, this::settled);
+    List<Integer> order = new ArrayList<>(IntStream.range(0, NODES).boxed().toList());
+    Collections.shuffle(order, random);
+    int stopped = order.get(0);
+    int killed = order.get(1);
+    cluster.all("lose 5 %, late by up to 40 ms, some twice", p -> p.lose(0.05).delay(1, 40).repeat(0.05));
+    callers.disturbed(stopped);
+    cluster.pause(stopped);
+    TimeUnit.SECONDS.sleep(3);
+    cluster.resume(stopped);
+    cluster.until("the stopped one is held for alive", PATIENCE, this::settled);
+    callers.well(stopped);
+    int deadOfStopped = deaths(List.of());
+    double bytesBefore = bytes();
+    double from = cluster.timeline().now();
+    callers.disturbed(killed);
+    cluster.kill(killed);
+    detected.add(cluster.until("all know of the killed one", PATIENCE, () -> cluster.allHold(killed, "dead")));
+    bytesPerSecond = (bytes() - bytesBefore) / ((cluster.timeline().now() - from) / 1000);
+    cluster.restart(killed, random.nextBoolean());
+    callers.well(killed);
+    List<Integer> minority = order.subList(2, 4);
+    // Until now only the killed one may have been called dead; from now on only those that a majority cannot reach.
+    int ofKilled = deaths(List.of()) - deaths(List.of(killed));
+    int ofMinority = deaths(List.of()) - deaths(minority);
+    cluster.cut(order.get(4), order.get(5), true);
+    cluster.cutOff(minority, true);
+    TimeUnit.SECONDS.sleep(5);
+    cluster.cutOff(minority, false);
+    cluster.all("heal", p -> p.heal());
+    double converged = cluster.until("all hold the same view", PATIENCE, this::settled);
+    callers.end();
+    ObjectNode out = new ObjectMapper().createObjectNode();
+    out.put("processes", NODES).put("faults", cluster.timeline().injected());
+    out.put("detect_ms_median", median(detected)).put("detect_ms_max", Math.round(Collections.max(detected)));
+    out.put("false_dead", deaths(minority) - ofKilled + ofMinority).put("false_dead_paused_3s", deadOfStopped);
+    out.put("converge_ms_max", Math.round(converged)).put("bytes_per_s_max", Math.round(bytesPerSecond));
+    out.put("asked", callers.asked()).put("served", callers.served()).put("refused", callers.refused());
+    out.put("failed", callers.failed()).put("excused", callers.excused());
+    out.put("extra_answers", callers.extra()).put("lost", callers.lost().size());
+    out.put("rules_broken", cluster.fleet().rules().broken()).put("seed", seed);
+    callers.lost().forEach(l -> System.out.println("lost: " + l));
+    cluster.fleet().rules().breaches().forEach(b -> System.out.println("broken: " + b));
+    System.out.println("timeline: " + cluster.timeline().file());
+    return out;
+  }
+
+  private boolean settled() {
+    return IntStream.range(0, NODES).allMatch(i -> cluster.allHold(i, "alive")) && cluster.viewsEqual();
+  }
+
+  /** The most that any process sends, bytes so far. */
+  private double bytes() {
+    return IntStream.range(0, NODES).mapToDouble(i -> cluster.paths().bytesOf(i)).max().orElse(0);
+  }
+
+  /** Verdicts of death on members other than these, in the logs of all processes. */
+  private int deaths(List<Integer> but) throws IOException {
+    int deaths = 0;
+    for (int i = 0; i < NODES; i++) {
+      deaths += (int) cluster.node(i).log().lines().filter(l -> l.contains(" is dead, was "))
+          .filter(l -> but.stream().noneMatch(b -> l.contains("member " + b + " "))).count();
+    }
+    return deaths;
+  }
+
+  private static long median(List<Double> of) {
+    List<Double> sorted = new ArrayList<>(of);
+    Collections.sort(sorted);
+    return Math.round(sorted.get(sorted.size() / 2));
+  }
+}
--- /dev/null
+++ b/src/main/java/bitternpulley/membership/Card.java
@@ -0,0 +1,23 @@
+package bitternpulley.membership;
+
+/** What a member says of itself, told while it is new. Each text has at most {@link #MOST} characters, all of ASCII. */
+public record Card(String name, String zone, String region, String build) {
+  static final int MOST = 24;
+
+  /** Guards against texts that would not fit a datagram, whoever configured them. */
+  public Card {
+    name = cut(name);
+    zone = cut(zone);
+    region = cut(region);
+    build = cut(build);
+  }
+
+  /** Bytes that it takes in a datagram, at the most. */
+  int bytes() {
+    return 9 + name.length() + zone.length() + region.length() + build.length();
+  }
+
+  private static String cut(String text) {
+    return (text.length() <= MOST ? text : text.substring(0, MOST)).replaceAll("[^ -~]", "?");
+  }
+}
--- /dev/null
+++ b/src/main/java/bitternpulley/membership/Membership.java
@@ -0,0 +1,397 @@
+package bitternpulley.membership;
+
+import bitternpulley.membership.Message.Kind;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+/**
+ * One instance's part in finding out who is here. All times are ms of one clock; each call returns what is to be sent and
+ * told, in order. {@link #tick} is to be called each {@link #tickEvery} ms: that it comes late is how a pause is noticed.
+ */
+public final class Membership {
+  /** Ticks in an interval, and intervals without a tick that make a pause. */
+  private static final int TICKS = 10;
+  private static final double PAUSE = 0.15;
+  /** Intervals after waking in which nobody is judged; and for which one that spoke, though it did not answer, runs. */
+  private static final double WAKING = 3;
+  private static final double SPOKE_WITHIN = 6;
+  /** Intervals without a word from anybody after which an instance speaks up each interval, whatever its doubt. */
+  private static final double LONELY = 2;
+  /** Members to which it speaks then. */
+  private static final int LONELY_ASKED = 8;
+  /** Intervals within which most others must have been heard for a verdict to count. */
+  private static final double MOST_WITHIN = 6;
+  /** Probes of its own that must have failed while it suspected before an instance calls anyone dead. */
+  private static final int LEAST_FAILURES = 2;
+  /** Intervals between pages told of oneself, and between those told to one whose view differs. */
+  private static final double SYNC_EVERY = 10;
+  private static final double SYNC_LEAST = 1;
+  /** Members told that this one leaves. */
+  private static final int TOLD_OF_LEAVING = 6;
+
+  private final int self;
+  private final Self me;
+  private final Terms terms;
+  private final Random random;
+  private final Table table;
+  private final Spread spread = new Spread();
+  private final SelfDoubt doubt = new SelfDoubt();
+  private final Prober prober;
+  private List<Output> out = new ArrayList<>();
+  private final double startedAt;
+  private double now;
+  private double tickedAt;
+  private double nextSync;
+  private double judgeFrom;
+  private double heardAt;
+  private double saidAt;
+  /** Since when most others are heard; infinity while they are not. */
+  private double mostSince;
+  private int syncFrom;
+  private long ignored;
+
+  /**
+   * An instance that starts.
+   *
+   * @param self its number
+   * @param epoch tells this start from those before: greater than any
+   * @param configured the numbers of those it is to find, its own included or not
+   */
+  public Membership(int self, Card card, long epoch, List<Integer> configured, Terms terms, long seed, double now) {
+    this.self = self;
+    this.me = new Self(self, card, epoch);
+    this.terms = terms;
+    this.random = new Random(seed);
+    this.table = new Table(self);
+    configured.forEach(n -> table.configure(n, now));
+    this.now = now;
+    startedAt = now;
+    mostSince = Double.POSITIVE_INFINITY;
+    tickedAt = now;
+    heardAt = now;
+    nextSync = now + SYNC_EVERY * terms.interval() * random.nextDouble();
+    prober = new Prober(self, terms, table, doubt, random, new Verdicts(), now);
+    spread.add(me.rumor());
+  }
+
+  public double tickEvery() {
+    return terms.interval() / TICKS;
+  }
+
+  /** Digest of the view: equal on instances that hold the same members for here, dead and gone. */
+  public int view() {
+    return table.digest(me.epoch());
+  }
+
+  /** This instance's doubt in itself: 0 where it is well. */
+  public int selfHealth() {
+    return doubt.score();
+  }
+
+  /** Tells this start from others of the same member; it may have been raised since the start. */
+  public long epoch() {
+    return me.epoch();
+  }
+
+  /** Messages and rumors that could not be used, so far. */
+  public long ignored() {
+    return ignored;
+  }
+
+  /** Members for all that must not be overspent: those in doubt count as here, and so does this one. */
+  public int atMostHere() {
+    return table.here();
+  }
+
+  /** One member as this instance holds it; times are ms ago, infinite where never. */
+  public record View(int number, long epoch, Standing standing, Card card, double since, double heard, boolean byOthers) {}
+
+  /** All that are known, this one included, by number. */
+  public List<View> members() {
+    List<View> all = new ArrayList<>();
+    all.add(new View(self, me.epoch(), me.standing(), me.card(), now - startedAt, 0, false));
+    table.all().forEach(m -> all.add(
+        new View(m.number, m.epoch, m.standing, m.card, now - m.since, now - m.heardAt, m.byOthers)));
+    all.sort(java.util.Comparator.comparingInt(View::number));
+    return all;
+  }
+
+  /** How a member stands; null where it is not known. */
+  public Standing standing(int number) {
+    Member m = table.known(number);
+    return number == self ? me.standing() : m == null ? null : m.standing;
+  }
+
+  // --- What happens ------------------------------------------------------------------------------
+
+  /** The time goes on. */
+  public List<Output> tick(double at) {
+    begin(at);
+    double gap = now - tickedAt;
+    tickedAt = now;
+    if (gap > tickEvery() + PAUSE * terms.interval()) {
+      woke(gap);
+    }
+    prober.tick(now, me.leaving());
+    boolean most = table.hearsMost(now - MOST_WITHIN * terms.interval());
+    mostSince = !most ? Double.POSITIVE_INFINITY : mostSince == Double.POSITIVE_INFINITY ? now : mostSince;
+    new ArrayList<>(table.all()).stream().filter(m -> m.standing == Standing.SUSPECT).forEach(this::judge);
+    if (now >= Math.max(heardAt + LONELY * terms.interval(), saidAt + terms.interval()) && !me.leaving()) {
+      // Guards against one that only cannot hear, falls silent in its doubt, and is taken for dead by all.
+      saidAt = now;
+      prober.greet(LONELY_ASKED);
+    }
+    if (now >= heardAt + terms.aloneAfter() / 2 && !me.leaving()) {
+      new ArrayList<>(table.all()).stream().filter(m -> m.standing == Standing.ALIVE)
+          .forEach(m -> suspect(m, self, "nobody is heard"));
+    }
+    if (now >= nextSync) {
+      nextSync = now + SYNC_EVERY * terms.interval();
+      table.some(1, random, Member::here).forEach(m -> sync(m.number));
+    }
+    return out;
+  }
+
+  /** A message has come from the address of the member that it names. */
+  public List<Output> heard(Message message, double at) {
+    begin(at);
+    Member from = table.known(message.from());
+    if (from == null || !Self.plausible(message.epoch(), message.incarnation(), now)) {
+      ignored++;
+      return out;
+    }
+    if (message.epoch() < from.epoch) {
+      // An earlier process's word, late; or a clock set back since: told how it stands, it takes a later epoch.
+      ignored++;
+      send(from.number, Kind.ACK, 0, from.number);
+      return out;
+    }
+    heardAt = now;
+    from.spokeAt = now;
+    from.heardAt = now;
+    if (new Rumor(from.number, message.epoch(), message.incarnation(), Standing.ALIVE, -1, null)
+        .newerThan(from.epoch, from.incarnation)) {
+      renewed(from, message.epoch(), message.incarnation(), null, "its own word");
+    }
+    message.rumors().stream().limit(Message.MOST_RUMORS).forEach(r -> rumor(r, from));
+    switch (message.kind()) {
+      case PING -> send(from.number, Kind.ACK, message.sequence(), self);
+      case ACK -> prober.answered(message, now);
+      case RELAY -> prober.help(message, now);
+      case NACK -> prober.declined(message);
+      case SYNC -> { }
+    }
+    if (message.view() != view() && now >= nextSync - (SYNC_EVERY - SYNC_LEAST) * terms.interval()) {
+      nextSync = now + SYNC_EVERY * terms.interval();
+      sync(from.number);
+    }
+    return out;
+  }
+
+  /** This instance is about to end. */
+  public List<Output> leave(double at) {
+    begin(at);
+    me.leave();
+    spread.add(me.rumor());
+    table.some(TOLD_OF_LEAVING, random, Member::here).forEach(m -> send(m.number, Kind.SYNC, 0, m.number));
+    return out;
+  }
+
+  private void begin(double at) {
+    now = Math.max(now, at);
+    out = new ArrayList<>();
+  }
+
+  /**
+   * Guards against verdicts by one that was not there to hear: what others had time for goes on from here, what was asked
+   * before is not awaited, and nobody is judged until there was time to hear again. It asks at once how it stands itself.
+   */
+  private void woke(double ms) {
+    out.add(new Output.Woke(ms));
+    doubt.paused(ms, terms.interval());
+    table.all().stream().filter(m -> m.suspicion != null).forEach(m -> m.suspicion.postpone(ms));
+    prober.woke();
+    judgeFrom = now + WAKING * terms.interval();
+    prober.greet(terms.relays());
+  }
+
+  // --- Probes ------------------------------------------------------------------------------------
+
+  private final class Verdicts implements Prober.Heard {
+    @Override
+    public void send(int to, Kind kind, int number, int target) {
+      Membership.this.send(to, kind, number, target);
+    }
+
+    @Override
+    public void failed(Member target, double asked) {
+      if (target.suspicion != null) {
+        target.suspicion.failedAgain(asked);
+      }
+      if (target.here()) {
+        suspect(target, self, "no answer, direct or by others");
+      }
+    }
+
+    @Override
+    public void answered(Member target, int by) {
+      if (target.standing == Standing.SUSPECT) {
+        stands(target, Standing.ALIVE, target.byOthers ? "answered " + by : "answered");
+        spread.add(target.rumor(-1));
+      }
+    }
+  }
+
+  // --- What is said of members -------------------------------------------------------------------
+
+  private void rumor(Rumor said, Member teller) {
+    if (!Self.plausible(said.epoch(), said.incarnation(), now)) {
+      ignored++;
+      return;
+    }
+    if (said.number() == self) {
+      if (me.refutes(said)) {
+        doubt.accused();
+        spread.add(me.rumor());
+      }
+      return;
+    }
+    Member m = table.known(said.number());
+    if (m == null) {
+      ignored++;
+      return;
+    }
+    boolean newer = said.newerThan(m.epoch, m.incarnation);
+    if (m == teller && said.standing() == Standing.LEFT) {
+      if (m.here() && said.epoch() == m.epoch) {
+        stands(m, Standing.LEFT, "its own word");
+        spread.add(m.rumor(-1));
+      }
+    } else if (said.standing() == Standing.ALIVE) {
+      m.card = m.card == null && said.epoch() == m.epoch ? said.card() : m.card;
+      if (newer && believed(m, said, teller.number)) {
+        renewed(m, said.epoch(), said.incarnation(), said.card(), "told by " + teller.number);
+      }
+    } else if (m.here() && newer) {
+      // Nobody is accused of what one has not heard of: asked itself, it says how it stands.
+      prober.check(m);
+    } else if (m.here() && said.epoch() == m.epoch && said.incarnation() == m.incarnation) {
+      m.saidToLeave |= said.standing() == Standing.LEFT;
+      // Whoever has heard it since takes no other's word for it.
+      if (m.standing == Standing.SUSPECT || m.heardAt < now - terms.interval()
+          || said.standing() == Standing.LEFT) {
+        suspect(m, said.accuser(), said.accuser() < 0 ? "said to leave" : "told by " + said.accuser());
+      }
+      if (m.suspicion != null && m.suspicion.failures() == 0) {
+        prober.check(m);
+      }
+    }
+  }
+
+  /** One's word is enough for a process that is known; a new one takes two, or its own. Guards against processes made up. */
+  private boolean believed(Member m, Rumor said, int teller) {
+    boolean known = said.epoch() == m.epoch || m.epoch == 0;
+    boolean second = said.epoch() == m.claimed && m.claimedBy != teller;
+    if (!known && !second) {
+      m.claimed = said.epoch();
+      m.claimedBy = teller;
+      prober.check(m);
+    }
+    return known || second;
+  }
+
+  private void renewed(Member m, long epoch, int incarnation, Card card, String evidence) {
+    boolean first = m.epoch == 0;
+    boolean another = epoch != m.epoch;
+    m.epoch = epoch;
+    m.incarnation = incarnation;
+    m.card = card != null ? card : another ? null : m.card;
+    m.failedAt = Double.NEGATIVE_INFINITY;
+    if (first) {
+      stands(m, Standing.ALIVE, "heard of for the first time: " + evidence);
+    } else if (another || m.standing != Standing.ALIVE) {
+      stands(m, Standing.ALIVE, another ? "started anew: " + evidence : "refuted: " + evidence);
+    }
+    spread.add(m.rumor(-1));
+  }
+
+  private void suspect(Member m, int accuser, String evidence) {
+    if (m.standing == Standing.ALIVE) {
+      stands(m, Standing.SUSPECT, evidence);
+      int here = table.here();
+      m.suspicion = new Suspicion(now, terms.suspicion() * Math.max(1, Math.log10(here)) * terms.interval(), here - 2);
+    }
+    if (m.standing == Standing.SUSPECT && m.suspicion.confirmedBy(accuser)) {
+      spread.add(m.rumor(accuser));
+    }
+  }
+
+  /** Nobody is called dead but by one that asked for itself, hears most others, and has not just woken. */
+  private void judge(Member m) {
+    if (now < m.suspicion.endsAt() || now < judgeFrom) {
+      return;
+    }
+    if (m.suspicion.failures() < LEAST_FAILURES && heardAt > now - terms.aloneAfter()) {
+      prober.check(m);
+      return;
+    }
+    if (m.spokeAt >= now - SPOKE_WITHIN * terms.interval() * doubt.patience() && !m.saidToLeave) {
+      return; // it runs, though it does not hear us: in doubt for as long as that lasts
+    }
+    boolean most = mostSince < Double.POSITIVE_INFINITY;
+    boolean alone = now >= m.suspicion.since() + terms.aloneAfter();
+    if (!alone && !m.suspicion.failedTwiceSince(mostSince)) {
+      prober.check(m);
+    } else if (alone || now >= m.suspicion.endsAt() + m.suspicion.lasts() * (doubt.patience() - 1)) {
+      stands(m, m.saidToLeave ? Standing.LEFT : Standing.DEAD, "silent for " + Math.round(now - m.heardAt) + " ms, "
+          + m.suspicion.accusers() + " accusers" + (most ? "" : "; most others are not heard"));
+      spread.add(m.rumor(self));
+    }
+  }
+
+  private void stands(Member m, Standing next, String evidence) {
+    Standing before = m.standing;
+    m.standing = next;
+    m.since = now;
+    m.suspicion = next == Standing.SUSPECT ? m.suspicion : null;
+    m.saidToLeave &= next == Standing.SUSPECT;
+    out.add(new Output.Changed(m.number, m.card, before, next, evidence));
+  }
+
+  // --- What is sent ------------------------------------------------------------------------------
+
+  private void send(int to, Kind kind, int number, int target) {
+    Member m = table.known(to);
+    // Whoever is held for anything but alive is told so first of all, that it may refute.
+    Rumor first = m != null && m.standing != Standing.ALIVE ? m.rumor(self) : null;
+    message(to, kind, number, target, spread.next(table.here(), first));
+  }
+
+  /** A page of what is known, the next one each time. */
+  private void sync(int to) {
+    List<Rumor> page = new ArrayList<>();
+    page.add(me.rumor());
+    int left = Message.RUMOR_BYTES - me.rumor().bytes();
+    List<Member> all = new ArrayList<>(table.all());
+    int next = syncFrom;
+    for (int i = 0; i < all.size() && page.size() < Message.MOST_RUMORS; i++) {
+      Member m = all.get((syncFrom + i) % all.size());
+      Rumor known = m.rumor(m.standing == Standing.ALIVE ? -1 : self);
+      if (known.bytes() > left) {
+        break;
+      }
+      next = syncFrom + i + 1;
+      if (m.epoch != 0 && m.number != to) {
+        page.add(known);
+        left -= known.bytes();
+      }
+    }
+    syncFrom = all.isEmpty() ? 0 : next % all.size();
+    message(to, Kind.SYNC, 0, to, page);
+  }
+
+  private void message(int to, Kind kind, int number, int target, List<Rumor> rumors) {
+    out.add(new Output.Send(to, new Message(kind, self, me.epoch(), me.incarnation(), number, target, view(), rumors)));
+  }
+}
--- /dev/null
+++ b/src/main/java/bitternpulley/membership/Prober.java
@@ -0,0 +1,172 @@
+package bitternpulley.membership;
+
+import bitternpulley.membership.Message.Kind;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+/**
+ * Asks the members in turn, each once a round in an order of chance, those to be checked first; and asks on behalf of others.
+ * What an answer or none means is {@link Membership}'s to say.
+ */
+final class Prober {
+  /** Each so many-th probe goes to one that is dead or was never heard of: a cut that heals is found out so. */
+  private static final int LOST_EVERY = 4;
+  /** Probes made for others at a time. */
+  private static final int MOST_HELPING = 64;
+
+  /** Who sends, and hears what became of a probe. */
+  interface Heard {
+    void send(int to, Kind kind, int number, int target);
+
+    /** It was asked from then on, directly and by others, and did not answer. */
+    void failed(Member target, double asked);
+
+    /** It answered, itself or through {@code by}. */
+    void answered(Member target, int by);
+  }
+
+  private record Helping(int origin, int sequence, int target, double until) {}
+
+  private final int self;
+  private final Terms terms;
+  private final Table table;
+  private final SelfDoubt doubt;
+  private final Random random;
+  private final Heard heard;
+  private final ArrayDeque<Member> round = new ArrayDeque<>();
+  private final ArrayDeque<Member> checks = new ArrayDeque<>();
+  private final Map<Integer, Helping> helping = new HashMap<>();
+  private Probe probe;
+  private int sequence;
+  private int probes;
+  private double nextProbe;
+
+  Prober(int self, Terms terms, Table table, SelfDoubt doubt, Random random, Heard heard, double now) {
+    this.self = self;
+    this.terms = terms;
+    this.table = table;
+    this.doubt = doubt;
+    this.random = random;
+    this.heard = heard;
+    nextProbe = now + terms.interval() * random.nextDouble();
+  }
+
+  void tick(double now, boolean leaving) {
+    helping.entrySet().removeIf(e -> {
+      boolean over = now >= e.getValue().until();
+      if (over) {
+        heard.send(e.getValue().origin(), Kind.NACK, e.getValue().sequence(), e.getValue().target());
+      }
+      return over;
+    });
+    if (probe != null) {
+      goOn(now);
+    }
+    if (probe == null && now >= nextProbe && !leaving) {
+      nextProbe = now + terms.interval() * (checks.isEmpty() ? doubt.pace() : 1);
+      ask(now);
+    }
+  }
+
+  /** This instance did not run: what it asked is not awaited, and what others asked of it is theirs no more. */
+  void woke() {
+    probe = null;
+    helping.clear();
+  }
+
+  /** Speaks to some members, whose answers are not awaited. */
+  void greet(int most) {
+    table.some(most, random, Member::here).forEach(this::greet);
+  }
+
+  private void greet(Member m) {
+    heard.send(m.number, Kind.PING, ++sequence, m.number);
+  }
+
+  /** It is to be asked out of turn. */
+  void check(Member m) {
+    if (!checks.contains(m) && (probe == null || probe.target != m)) {
+      checks.add(m);
+    }
+  }
+
+  private void ask(double now) {
+    if (++probes % LOST_EVERY == 0) {
+      table.some(1, random, m -> m.standing == Standing.DEAD || m.here() && m.epoch == 0).forEach(this::greet);
+    }
+    Member target = checks.poll();
+    while (target == null || !target.here()) {
+      if (round.isEmpty()) {
+        List<Member> all = new ArrayList<>(table.all().stream().filter(Member::here).toList());
+        if (all.isEmpty()) {
+          return;
+        }
+        Collections.shuffle(all, random);
+        round.addAll(all);
+      }
+      target = round.poll();
+    }
+    probe = new Probe(target, ++sequence, now, terms.timeout() * doubt.stretch());
+    heard.send(target.number, Kind.PING, probe.sequence, target.number);
+  }
+
+  private void goOn(double now) {
+    Member target = probe.target;
+    if (probe.wantsHelp(now)) {
+      heard.send(target.number, Kind.PING, probe.sequence, target.number);
+      for (Member helper : table.some(terms.relays(), random, m -> m != target && m.standing == Standing.ALIVE
+          && m.epoch != 0)) {
+        probe.askedHelper(helper.number);
+        heard.send(helper.number, Kind.RELAY, probe.sequence, target.number);
+      }
+    }
+    if (probe.failed(now)) {
+      if (!probe.othersAgree() && target.standing == Standing.ALIVE) {
+        doubt.unanswered(); // that a suspect does not answer is no news
+      }
+      target.failedAt = now;
+      double asked = probe.sentAt();
+      probe = null;
+      heard.failed(target, asked);
+    }
+  }
+
+  void answered(Message ack, double now) {
+    Helping asked = helping.remove(ack.sequence());
+    if (asked != null && asked.target() == ack.from()) {
+      heard.send(asked.origin(), Kind.ACK, asked.sequence(), asked.target());
+      return;
+    }
+    if (probe == null || probe.sequence != ack.sequence() || ack.target() != probe.target.number) {
+      return;
+    }
+    Member target = probe.target;
+    target.byOthers = ack.from() != target.number;
+    target.heardAt = now;
+    doubt.answered();
+    probe = null;
+    heard.answered(target, ack.from());
+  }
+
+  void declined(Message nack) {
+    if (probe != null && probe.sequence == nack.sequence()) {
+      probe.helperDeclined(nack.from());
+    }
+  }
+
+  /** Asks one for another; says at once where it cannot. */
+  void help(Message asked, double now) {
+    Member target = table.known(asked.target());
+    if (target == null || asked.target() == self || helping.size() >= MOST_HELPING) {
+      heard.send(asked.from(), Kind.NACK, asked.sequence(), asked.target());
+      return;
+    }
+    helping.put(++sequence, new Helping(asked.from(), asked.sequence(), asked.target(), now + terms.timeout()));
+    heard.send(target.number, Kind.PING, sequence, target.number);
+  }
+}
--- /dev/null
+++ b/src/main/java/bitternpulley/membership/Rumor.java
@@ -0,0 +1,17 @@
+package bitternpulley.membership;
+
+/**
+ * What is said of a member: that it stands so, as the process begun at {@code epoch} and as often refuted as
+ * {@code incarnation} says. {@code accuser} is who said it first, -1 for the member itself; {@code card} may be null.
+ */
+public record Rumor(int number, long epoch, int incarnation, Standing standing, int accuser, Card card) {
+  /** Bytes that it takes in a datagram, at the most: numbers of 1 to 9 bytes as CBOR has them. */
+  int bytes() {
+    return 23 + (card == null ? 0 : card.bytes());
+  }
+
+  /** The order of what is known of a member: a later process first, then its later word, then the graver standing. */
+  boolean newerThan(long otherEpoch, int otherIncarnation) {
+    return epoch != otherEpoch ? epoch > otherEpoch : incarnation > otherIncarnation;
+  }
+}
--- /dev/null
+++ b/src/main/java/bitternpulley/membership/Self.java
@@ -0,0 +1,71 @@
+package bitternpulley.membership;
+
+/** What this instance is, and how it answers what is said of it. */
+final class Self {
+  /** Ms by which a process may be ahead of our clock; one further ahead is made up. Bears clocks that are hours apart. */
+  private static final double EPOCH_AHEAD = 86_400_000;
+  /** So often refuted, a process begins a new epoch: what is said of a higher incarnation is made up. */
+  private static final int MOST_INCARNATION = 1_000_000;
+
+  private final int number;
+  private final Card card;
+  private long epoch;
+  private int incarnation;
+  private boolean leaving;
+
+  Self(int number, Card card, long epoch) {
+    this.number = number;
+    this.card = card;
+    this.epoch = epoch;
+  }
+
+  /** Whether there can be such a process. Guards against numbers that nobody could ever exceed. */
+  static boolean plausible(long epoch, int incarnation, double now) {
+    return epoch > 0 && epoch <= now + EPOCH_AHEAD && incarnation >= 0 && incarnation <= MOST_INCARNATION;
+  }
+
+  long epoch() {
+    return epoch;
+  }
+
+  int incarnation() {
+    return incarnation;
+  }
+
+  Card card() {
+    return card;
+  }
+
+  boolean leaving() {
+    return leaving;
+  }
+
+  void leave() {
+    leaving = true;
+  }
+
+  Standing standing() {
+    return leaving ? Standing.LEFT : Standing.ALIVE;
+  }
+
+  Rumor rumor() {
+    return new Rumor(number, epoch, incarnation, standing(), -1, card);
+  }
+
+  /** Takes a later word than what is held of this instance, or of a later process of its number; whether there was need. */
+  boolean refutes(Rumor said) {
+    boolean later = said.newerThan(epoch, incarnation);
+    boolean accused = said.standing() != Standing.ALIVE && (later || said.epoch() == epoch
+        && said.incarnation() == incarnation);
+    if (leaving || !later && !accused) {
+      return false;
+    }
+    if (said.epoch() > epoch || Math.max(incarnation, said.incarnation()) >= MOST_INCARNATION) {
+      epoch = Math.max(epoch, said.epoch()) + 1;
+      incarnation = 0;
+    } else {
+      incarnation = Math.max(incarnation, said.incarnation()) + 1;
+    }
+    return true;
+  }
+}
--- /dev/null
+++ b/src/main/java/bitternpulley/membership/Suspicion.java
@@ -0,0 +1,74 @@
+package bitternpulley.membership;
+
+import java.util.HashSet;
+import java.util.Set;
+
+/**
+ * How long one suspect may still refute: long while one instance alone suspects it, down to the least as others confirm
+ * (Lifeguard's dynamic suspicion). The time is told by whoever asks.
+ */
+final class Suspicion {
+  /** Times the least that a suspicion lasts which nobody confirms, and the confirmations that bring it down to the least. */
+  private static final double LONGEST = 4;
+  private static final int CONFIRMED = 3;
+
+  private final Set<Integer> accusers = new HashSet<>();
+  private final double least;
+  private final int needed;
+  private double since;
+  private int failures;
+  private double lastFailure = Double.NEGATIVE_INFINITY;
+  private double failureBefore = Double.NEGATIVE_INFINITY;
+
+  /** A suspicion that lasts {@code least} ms at least, where so many others could confirm it. */
+  Suspicion(double since, double least, int others) {
+    this.since = since;
+    this.least = least;
+    this.needed = Math.max(1, Math.min(CONFIRMED, others));
+  }
+
+  /** Returns whether this one had not accused before; no more are kept than count. */
+  boolean confirmedBy(int accuser) {
+    return accusers.size() <= needed && accusers.add(accuser);
+  }
+
+  int accusers() {
+    return accusers.size();
+  }
+
+  /** The suspect was asked once more, from this time on, in vain. */
+  void failedAgain(double asked) {
+    failures++;
+    failureBefore = lastFailure;
+    lastFailure = asked;
+  }
+
+  /** Whether it failed twice when asked after this time. */
+  boolean failedTwiceSince(double time) {
+    return failureBefore >= time;
+  }
+
+  /** Probes of this instance's own that failed while it suspected. */
+  int failures() {
+    return failures;
+  }
+
+  double since() {
+    return since;
+  }
+
+  /** The instance did not run for so long: nobody could be heard meanwhile. */
+  void postpone(double ms) {
+    since += ms;
+  }
+
+  /** Ms for which it lasts, by those who confirmed it. */
+  double lasts() {
+    double share = Math.min(1, Math.log(Math.max(1, accusers.size())) / Math.log(needed + 1));
+    return least * (LONGEST - (LONGEST - 1) * share);
+  }
+
+  double endsAt() {
+    return since + lasts();
+  }
+}
--- /dev/null
+++ b/src/main/java/bitternpulley/peers/PeerCodec.java
@@ -0,0 +1,162 @@
+package bitternpulley.peers;
+
+import bitternpulley.membership.Card;
+import bitternpulley.membership.Message;
+import bitternpulley.membership.Rumor;
+import bitternpulley.membership.Standing;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Messages as CBOR (RFC 8949): one array {@code [version, deployment, kind, from, epoch, incarnation, sequence, target, view,
+ * rumors]}; a rumor is {@code [number, epoch, incarnation, standing, accuser]} with the four texts of its card behind it
+ * where it has one. What a later version adds behind these is not read.
+ */
+final class PeerCodec {
+  /** The longest datagram that the platform carries; what is longer voids a run. */
+  static final int MOST_BYTES = 256;
+  private static final int VERSION = 1;
+  private static final CBORFactory CBOR = new CBORFactory();
+
+  /** Of another deployment, or of a version that is not known here: no fault, and nothing to do with us. */
+  static final class Foreign extends IOException {
+    private static final long serialVersionUID = 1;
+
+    Foreign(String why) {
+      super(why);
+    }
+  }
+
+  private final int deployment;
+
+  /** {@code deployment} is the same on all that are to find each other. */
+  PeerCodec(String deployment) {
+    this.deployment = deployment.hashCode();
+  }
+
+  byte[] encode(Message m) {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream(MOST_BYTES);
+    try (JsonGenerator out = CBOR.createGenerator(bytes)) {
+      out.writeStartArray(null, 10);
+      out.writeNumber(VERSION);
+      out.writeNumber(deployment);
+      out.writeNumber(m.kind().ordinal());
+      out.writeNumber(m.from());
+      out.writeNumber(m.epoch());
+      out.writeNumber(m.incarnation());
+      out.writeNumber(m.sequence());
+      out.writeNumber(m.target());
+      out.writeNumber(m.view());
+      out.writeStartArray(null, m.rumors().size());
+      for (Rumor r : m.rumors()) {
+        rumor(out, r);
+      }
+      out.writeEndArray();
+      out.writeEndArray();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    if (bytes.size() > MOST_BYTES) {
+      throw new IllegalStateException("a datagram of " + bytes.size() + " bytes");
+    }
+    return bytes.toByteArray();
+  }
+
+  private static void rumor(JsonGenerator out, Rumor r) throws IOException {
+    out.writeStartArray(null, r.card() == null ? 5 : 9);
+    out.writeNumber(r.number());
+    out.writeNumber(r.epoch());
+    out.writeNumber(r.incarnation());
+    out.writeNumber(r.standing().ordinal());
+    out.writeNumber(r.accuser());
+    if (r.card() != null) {
+      for (String text : List.of(r.card().name(), r.card().zone(), r.card().region(), r.card().build())) {
+        out.writeString(text);
+      }
+    }
+    out.writeEndArray();
+  }
+
+  /** Reads a datagram; throws {@link Foreign} for another deployment's or version's, IOException for what is no message. */
+  Message decode(byte[] bytes, int length) throws IOException {
+    if (length > MOST_BYTES) {
+      throw new IOException("longer than " + MOST_BYTES + " bytes");
+    }
+    try (JsonParser in = CBOR.createParser(bytes, 0, length)) {
+      begin(in, in.nextToken());
+      int version = integer(in);
+      if (version != VERSION) {
+        throw new Foreign("of version " + version + ", not " + VERSION);
+      }
+      if (integer(in) != deployment) {
+        throw new Foreign("of another deployment");
+      }
+      Message.Kind kind = one(Message.Kind.values(), integer(in));
+      int from = integer(in);
+      long epoch = number(in);
+      int incarnation = integer(in);
+      int sequence = integer(in);
+      int target = integer(in);
+      int view = integer(in);
+      begin(in, in.nextToken());
+      List<Rumor> rumors = new ArrayList<>();
+      while (in.nextToken() == JsonToken.START_ARRAY && rumors.size() < Message.MOST_RUMORS) {
+        rumors.add(rumor(in));
+      }
+      return new Message(kind, from, epoch, incarnation, sequence, target, view, List.copyOf(rumors));
+    }
+  }
+
+  private static Rumor rumor(JsonParser in) throws IOException {
+    int number = integer(in);
+    long epoch = number(in);
+    int incarnation = integer(in);
+    Standing standing = one(Standing.values(), integer(in));
+    int accuser = integer(in);
+    List<String> texts = new ArrayList<>();
+    JsonToken next = in.nextToken();
+    for (; next == JsonToken.VALUE_STRING; next = in.nextToken()) {
+      texts.add(in.getText());
+    }
+    if (next != JsonToken.END_ARRAY || texts.size() != 0 && texts.size() != 4) {
+      throw new IOException("a rumor that is none");
+    }
+    return new Rumor(number, epoch, incarnation, standing, accuser,
+        texts.isEmpty() ? null : new Card(texts.get(0), texts.get(1), texts.get(2), texts.get(3)));
+  }
+
+  private static void begin(JsonParser in, JsonToken token) throws IOException {
+    if (token != JsonToken.START_ARRAY) {
+      throw new IOException("no array");
+    }
+  }
+
+  private static int integer(JsonParser in) throws IOException {
+    long value = number(in);
+    if (value != (int) value) {
+      throw new IOException("a number out of bounds");
+    }
+    return (int) value;
+  }
+
+  private static long number(JsonParser in) throws IOException {
+    if (in.nextToken() != JsonToken.VALUE_NUMBER_INT) {
+      throw new IOException("no whole number");
+    }
+    return in.getLongValue();
+  }
+
+  private static <T> T one(T[] of, int place) throws IOException {
+    if (place < 0 || place >= of.length) {
+      throw new IOException("no such kind");
+    }
+    return of[place];
+  }
+}
--- /dev/null
+++ b/src/main/java/bitternpulley/peers/Peers.java
@@ -0,0 +1,122 @@
+package bitternpulley.peers;
+
+import bitternpulley.broker.Broker;
+import bitternpulley.broker.Effect;
+import bitternpulley.broker.Event;
+import bitternpulley.broker.PeerWire;
+import bitternpulley.config.Configuration;
+import bitternpulley.config.MembershipConfiguration;
+import bitternpulley.membership.Card;
+import bitternpulley.membership.Membership;
+import bitternpulley.membership.Message;
+import bitternpulley.net.DatagramLink;
+import bitternpulley.net.EventLoop;
+import java.io.IOException;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+/** Membership as a running subsystem: a socket, a beat, and the state machine that the core drives. */
+public final class Peers implements PeerWire {
+  private static final System.Logger LOG = System.getLogger(Peers.class.getName());
+  /** Ms between tries to take the address: during an upgrade the process that leaves still has it. */
+  private static final double TAKE_AGAIN = 250;
+  /** Senders that are remembered for having been logged once. */
+  private static final int MOST_LOGGED = 64;
+
+  private final EventLoop loop;
+  private final Broker broker;
+  private final Configuration config;
+  private final MembershipConfiguration membership;
+  private final PeerCodec codec;
+  private final List<InetSocketAddress> addresses;
+  private final Set<String> logged = new HashSet<>();
+  private final String build;
+  private DatagramLink link;
+  private boolean ended;
+  private long unusable;
+
+  /** One that is not begun yet. */
+  public Peers(EventLoop loop, Broker broker, Configuration config, MembershipConfiguration membership, String build) {
+    this.loop = loop;
+    this.broker = broker;
+    this.config = config;
+    this.membership = membership;
+    this.build = build;
+    codec = new PeerCodec(membership.deployment());
+    addresses = config.peers().orElseThrow().all().stream().map(p -> p.address()).toList();
+    broker.peers(this);
+  }
+
+  /** Takes the address, at once or as soon as it is free, and begins to look for the others. */
+  public void begin() {
+    if (ended) {
+      return;
+    }
+    try {
+      link = new DatagramLink(loop, config.peers().orElseThrow().listen(), PeerCodec.MOST_BYTES, this::received);
+    } catch (IOException e) {
+      once("address", "membership waits for its address, which another process has: " + e.getMessage());
+      loop.after(TAKE_AGAIN, this::begin);
+      return;
+    }
+    Path folder = config.operations().folder().orElse(null);
+    long epoch = EpochFile.next(folder, broker.now());
+    int self = config.settings().self();
+    Membership core = new Membership(self, new Card(config.name(), zone(), membership.region(), build), epoch,
+        IntStream.range(0, addresses.size()).boxed().toList(), membership.terms(), config.seed(), broker.now());
+    LOG.log(Level.INFO, "membership begins: number " + self + " of " + addresses.size() + ", epoch " + epoch);
+    broker.submit(new Event.PeersBegin(core));
+    beat(core);
+  }
+
+  private String zone() {
+    int zone = config.settings().zone();
+    return zone < config.zones().size() ? config.zones().get(zone) : "";
+  }
+
+  private void beat(Membership core) {
+    if (!ended) {
+      broker.submit(new Event.PeersTick());
+      loop.after(core.tickEvery(), () -> beat(core));
+    }
+  }
+
+  /** Tells the others that this one goes, and ends. */
+  public void end() {
+    if (!ended) {
+      broker.submit(new Event.PeersLeave());
+      ended = true;
+    }
+  }
+
+  @Override
+  public void tell(Effect.Tell told) {
+    if (link != null && told.to() < addresses.size()) {
+      link.send(codec.encode(told.message()), addresses.get(told.to()));
+    }
+  }
+
+  private void received(byte[] bytes, int length, InetSocketAddress from) {
+    try {
+      Message message = codec.decode(bytes, length);
+      if (message.from() < 0 || message.from() >= addresses.size() || !addresses.get(message.from()).equals(from)) {
+        throw new IOException("it claims number " + message.from() + ", which is elsewhere");
+      }
+      broker.submit(new Event.PeerSaid(message));
+    } catch (IOException e) {
+      unusable++;
+      once(from.toString(), "datagrams from " + from + " are ignored: " + e.getMessage() + " (" + unusable + " so far)");
+    }
+  }
+
+  private void once(String key, String text) {
+    if (logged.size() < MOST_LOGGED && logged.add(key)) {
+      LOG.log(Level.WARNING, text);
+    }
+  }
+}
--- a/src/test/java/bitternpulley/broker/ReducerTest.java
+++ b/src/test/java/bitternpulley/broker/ReducerTest.java
@@ -174,6 +174,16 @@
     assertFalse(answer(0) instanceof Effect.Answer.Answered, "half is not the whole");
   }
 
+  /** Where turns came late its answer leaves earlier, and is out of time all the same. */
+  @Test
+  public void anEndBroughtForwardForLateTurnsIsOutOfTime() {
+    tell(new Event.Taken(new Request(1, null, 0, 3000, false, new Router.Terms(true, true),
+        List.of(new Request.Slice(0, 1, 0)), null, null, 0, new Router.Lateness(0, 300))));
+    now += 2700;
+    tell(new Event.Alarm("q1"));
+    assertTrue(((Effect.Answer.Refused) answer(0)).ending().late());
+  }
+
   /** Guards against parts that wait on the way to a server while it begins to drain, or leaves the list. */
   @Test
   public void whatIsOutAtAServerThatTakesNothingNewIsTakenBack() {
--- a/src/test/java/bitternpulley/config/BrokerConfigurationTest.java
+++ b/src/test/java/bitternpulley/config/BrokerConfigurationTest.java
@@ -78,6 +78,9 @@
         {GOOD.replace("share", "indices = ['none'], share"), "'contracts.0.indices.0' names no index"},
         {GOOD.replace("share", "keys = [{'id': 'k', 'salt': 'zz', 'sha256': ''}], share"), "'contracts.0.keys"},
         {"accounts(list = True)\naccounts(list = True)\n", ":2:1: accounts() is called a second time"},
+        {"membership(interval_ms = 10)\n", ":1:12: 'membership.interval_ms'"},
+        {"membership(timeout_ms = 500)\n", "'membership.timeout_ms' is over a third of interval_ms"},
+        {"membership(relais = 3)\n", "relais"},
         {"x = 1 +\n", ":1:8: "}, {"nothing()\n", ":1:1: nothing is called 'nothing'"}};
   }
 
--- a/src/test/java/bitternpulley/config/ConfigurationTest.java
+++ b/src/test/java/bitternpulley/config/ConfigurationTest.java
@@ -76,6 +76,17 @@
     assertTrue(e.getMessage().contains(key), e.getMessage());
   }
 
+  @Test
+  public void membershipNeedsToKnowItsPeers() throws IOException {
+    assertTrue(read(GOOD).peers().isEmpty());
+    assertTrue(expectThrows(ConfigException.class, () -> read(GOOD).checkPeers()).getMessage().contains("peer_listen"));
+    String peers = GOOD.replace("{\"name\":\"n3\"", "{\"name\":\"n3\",\"peer_listen\":\"127.0.0.1:7946\",\"peers\":[]");
+    assertTrue(expectThrows(ConfigException.class, () -> read(peers).checkPeers()).getMessage().contains("'peers'"));
+    read(peers.replace("[]", "[\"127.0.0.1:7946\"]")).checkPeers();
+    assertTrue(expectThrows(ConfigException.class, () -> read(peers.replace("[]", "[\"seven\"]"))).getMessage()
+        .contains("'peers'"));
+  }
+
   @Test
   public void withoutAFileTheVariableIsNamed() {
     assertTrue(expectThrows(ConfigException.class, () -> ConfigurationReader.read(Map.of())).getMessage()
--- /dev/null
+++ b/src/test/java/bitternpulley/membership/MembershipTest.java
@@ -0,0 +1,278 @@
+package bitternpulley.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The hard cases in virtual time, each over several seeds. */
+class MembershipTest {
+  private static final int SEEDS = 10;
+
+  private static World settled(int count, long seed) {
+    World w = new World(count, seed, Terms.USUAL);
+    w.until(60_000, "all find each other", w::viewsEqual);
+    w.run(3000);
+    w.verdicts.clear();
+    return w;
+  }
+
+  private interface Case {
+    void of(World w);
+  }
+
+  private static void each(int count, Case test) {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      World w = settled(count, seed);
+      test.of(w);
+    }
+  }
+
+  private static void nobodyCalledDead(World w, int... but) {
+    assertEquals(List.of(), w.deaths().stream().filter(v -> IntStream.of(but).noneMatch(b -> b == v.of())).toList(),
+        "seed " + w.seed);
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {5, 12, 100})
+  void theDeadIsKnownToAllWithinSecondsAndNobodyElseIsCalledSo(int count) {
+    each(count, w -> {
+      w.kill(2);
+      double took = w.until(30_000, "all know", () -> w.allHold(2, Standing.DEAD));
+      assertTrue(took <= (count <= 12 ? 12_000 : 20_000), "seed " + w.seed + ": " + took);
+      w.run(5000);
+      nobodyCalledDead(w, 2);
+      assertTrue(w.viewsEqual());
+    });
+  }
+
+  @Test
+  void halfAtOnceAndAllButOneAreKnownLaterAsNoMajorityIsHeard() {
+    each(12, w -> {
+      IntStream.range(0, 6).forEach(w::kill);
+      w.until(60_000, "half", () -> IntStream.range(0, 6).allMatch(i -> w.allHold(i, Standing.DEAD)));
+      assertTrue(w.deaths().stream().allMatch(v -> v.of() < 6), "seed " + w.seed);
+      IntStream.range(6, 11).forEach(w::kill);
+      w.until(60_000, "all but one", () -> IntStream.range(0, 11).allMatch(i -> w.allHold(i, Standing.DEAD)));
+    });
+  }
+
+  @ParameterizedTest
+  @CsvSource({"300,1", "3000,1", "3000,3", "300,3"})
+  void onePausedIsNotCalledDeadNorCallsOthersSo(double ms, int paused) {
+    each(7, w -> {
+      IntStream.range(0, paused).forEach(i -> w.pause(i, ms));
+      w.run(ms + 20_000);
+      nobodyCalledDead(w);
+      assertTrue(w.viewsEqual(), "seed " + w.seed);
+    });
+  }
+
+  @Test
+  void oneThatDidNotRunSaysSoAndAsksAtOnceHowItStands() {
+    Membership m = new Membership(0, new Card("n0", "z", "r", "b"), 1000, List.of(0, 1, 2, 3), Terms.USUAL, 1, 1000);
+    m.tick(1100);
+    List<Output> out = m.tick(1400);
+    assertEquals(List.of(new Output.Woke(300)), out.stream().filter(o -> o instanceof Output.Woke).toList());
+    assertTrue(out.stream().filter(o -> o instanceof Output.Send).count() >= 3, out.toString());
+  }
+
+  /** A tenth of its core: it is late with everything, and knows that it is not the others who fail. */
+  @Test
+  void oneThatIsLateWithEverythingDoubtsItselfAndNotTheOthers() {
+    each(7, w -> {
+      w.slow(3, 1000);
+      w.run(60_000);
+      nobodyCalledDead(w);
+      assertTrue(w.at(3).selfHealth() > 0, "seed " + w.seed);
+      long blames = w.verdicts.stream().filter(v -> v.by() == 3 && v.now() == Standing.SUSPECT).count();
+      assertTrue(blames <= 15, "seed " + w.seed + ": it suspected others " + blames + " times in a minute");
+    });
+  }
+
+  @Test
+  void twoHalvesThatHaveCalledEachOtherDeadFindEachOther() {
+    each(6, w -> {
+      halves(w, true);
+      w.until(60_000, "each half is alone", () -> IntStream.range(0, 6).allMatch(i ->
+          IntStream.range(0, 6).allMatch(j -> i / 3 == j / 3 || w.at(i).standing(j) == Standing.DEAD)));
+      halves(w, false);
+      w.until(30_000, "found", () -> IntStream.range(0, 6).allMatch(i -> w.allHold(i, Standing.ALIVE)) && w.viewsEqual());
+    });
+  }
+
+  private static void halves(World w, boolean cut) {
+    for (int a = 0; a < 3; a++) {
+      for (int b = 3; b < 6; b++) {
+        w.cut(a, b, cut);
+        w.cut(b, a, cut);
+      }
+    }
+  }
+
+  @Test
+  void oneThatSleptLongComesBackAndBlamesNobody() {
+    each(7, w -> {
+      w.pause(0, 30_000);
+      w.run(30_000);
+      assertTrue(w.allHold(0, Standing.DEAD), "seed " + w.seed);
+      w.until(15_000, "back", () -> w.allHold(0, Standing.ALIVE) && w.viewsEqual());
+      nobodyCalledDead(w, 0);
+    });
+  }
+
+  @ParameterizedTest
+  @CsvSource({"0.05,30", "0.2,100", "0.4,400"})
+  void lossDelayAndRepetitionKillNobody(double loss, double delay) {
+    each(7, w -> {
+      w.loss = loss;
+      w.mostDelay = delay;
+      w.repeated = 0.1;
+      w.run(60_000);
+      nobodyCalledDead(w);
+      w.loss = 0;
+      w.mostDelay = 3;
+      w.until(30_000, "views equal", w::viewsEqual);
+    });
+  }
+
+  @Test
+  void aOneWayCutBetweenTwoEndsInOneViewWithoutFlapping() {
+    each(7, w -> {
+      w.cut(0, 1, true);
+      w.run(60_000);
+      nobodyCalledDead(w);
+      assertTrue(w.viewsEqual(), "seed " + w.seed);
+      long changes = w.verdicts.stream().filter(v -> v.now() == Standing.SUSPECT).count();
+      assertTrue(changes <= 6, "seed " + w.seed + ": " + changes + " suspicions in a minute");
+    });
+  }
+
+  @Test
+  void oneThatHearsNobodyThoughAllHearItBlamesNobodyAndIsKept() {
+    each(7, w -> {
+      IntStream.range(1, 7).forEach(i -> w.cut(i, 0, true));
+      w.run(15_000);
+      nobodyCalledDead(w);
+      IntStream.range(1, 7).forEach(i -> w.cut(i, 0, false));
+      w.until(20_000, "healed", () -> w.allHold(0, Standing.ALIVE) && w.viewsEqual());
+    });
+  }
+
+  @Test
+  void oneThatNobodyHearsIsGoneForAllAndBackOnceHeard() {
+    each(7, w -> {
+      IntStream.range(1, 7).forEach(i -> w.cut(0, i, true));
+      w.until(30_000, "gone", () -> w.allHold(0, Standing.DEAD));
+      nobodyCalledDead(w, 0);
+      IntStream.range(1, 7).forEach(i -> w.cut(0, i, false));
+      w.until(20_000, "healed", () -> w.allHold(0, Standing.ALIVE) && w.viewsEqual());
+    });
+  }
+
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void aZoneCutOffIsJudgedByTheMajorityAloneAndFoundAgain(boolean flapping) {
+    each(7, w -> {
+      for (int k = 0; k < 10; k++) {
+        zone(w, !flapping || k % 2 == 0);
+        w.run(1000);
+      }
+      zone(w, false);
+      assertTrue(w.deaths().stream().allMatch(v -> v.of() < 3 && v.by() >= 3), "seed " + w.seed + ": " + w.deaths());
+      w.until(20_000, "healed", w::viewsEqual);
+      w.until(20_000, "all alive", () -> IntStream.range(0, 7).allMatch(i -> w.allHold(i, Standing.ALIVE)));
+    });
+  }
+
+  private static void zone(World w, boolean cut) {
+    for (int a = 0; a < 3; a++) {
+      for (int b = 3; b < 7; b++) {
+        w.cut(a, b, cut);
+        w.cut(b, a, cut);
+      }
+    }
+  }
+
+  @Test
+  void aBridgeKeepsTwoThatNeverHearEachOther() {
+    each(3, w -> {
+      w.cut(0, 2, true);
+      w.cut(2, 0, true);
+      w.run(60_000);
+      nobodyCalledDead(w);
+    });
+  }
+
+  @Test
+  void aRestartIsNotTakenForTheOldProcessAndItsOldWordChangesNothing() {
+    each(5, w -> {
+      long before = w.at(1).epoch();
+      Message old = new Message(Message.Kind.PING, 1, before, 0, 1, 0, 0,
+          List.of(new Rumor(2, w.at(2).epoch(), 0, Standing.DEAD, 1, null)));
+      w.kill(1);
+      w.run(300);
+      w.start(1);
+      w.until(10_000, "known anew", w::viewsEqual);
+      w.verdicts.clear();
+      long ignored = w.at(0).ignored();
+      w.perform(0, w.at(0).heard(old, w.now));
+      assertEquals(ignored + 1, w.at(0).ignored());
+      assertEquals(List.of(), w.verdicts);
+    });
+  }
+
+  @Test
+  void aClockSetBackAtARestartIsOvercome() {
+    each(5, w -> {
+      w.kill(1);
+      w.clockAhead(1, -3_600_000);
+      w.start(1);
+      w.until(15_000, "its later epoch is known", () -> w.viewsEqual() && w.allHold(1, Standing.ALIVE));
+    });
+  }
+
+  @Test
+  void oneThatLeavesIsGoneAtOnce() {
+    each(7, w -> {
+      w.perform(3, w.at(3).leave(w.now));
+      w.run(20);
+      w.kill(3);
+      w.until(6000, "left", () -> w.allHold(3, Standing.LEFT));
+      nobodyCalledDead(w);
+    });
+  }
+
+  /** It accuses everyone, of everything, as often as it can. */
+  @Test
+  void aLiarRemovesNobodyFromAnyView() {
+    each(7, w -> {
+      for (int k = 0; k < 300; k++) {
+        for (int of = 0; of < 6; of++) {
+          Standing[] lies = {Standing.SUSPECT, Standing.DEAD, Standing.LEFT};
+          Rumor lie = new Rumor(of, w.at(of).epoch() + (k % 3 == 0 ? 1000 : 0), k % 7, lies[k % 3], k % 6, null);
+          w.deliver(6, (of + 1 + k) % 6, new Message(Message.Kind.SYNC, 6, w.at(6).epoch(), 0, 0, 0, 0, List.of(lie)));
+        }
+        w.run(100);
+      }
+      assertEquals(List.of(), w.verdicts.stream().filter(v -> v.of() != 6
+          && (v.now() == Standing.DEAD || v.now() == Standing.LEFT)).toList(), "seed " + w.seed);
+      w.until(30_000, "calm", () -> IntStream.range(0, 6).allMatch(i -> w.allHold(i, Standing.ALIVE)));
+    });
+  }
+
+  @Test
+  void aConfiguredPeerThatNeverExistedIsKnownForDeadAndNobodyElse() {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      World w = new World(6, seed, Terms.USUAL);
+      w.kill(5);
+      w.until(40_000, "never there", () -> w.allHold(5, Standing.DEAD));
+      nobodyCalledDead(w, 5);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/bitternpulley/membership/World.java
@@ -0,0 +1,185 @@
+package bitternpulley.membership;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.stream.IntStream;
+
+/** Many instances in virtual time, with a network that loses, delays, repeats and cuts by seed, one way or both. */
+final class World {
+  record Verdict(int by, int of, Standing before, Standing now, double at) {}
+
+  private record Due(double at, long order, Runnable task) {}
+
+  private static final class Node {
+    Membership membership;
+    boolean up;
+    double pausedUntil;
+    int starts;
+    double clockAhead;
+    double late;
+  }
+
+  final List<Verdict> verdicts = new ArrayList<>();
+  final long seed;
+  double loss;
+  double mostDelay = 3;
+  double repeated;
+  long sent;
+  private final Terms terms;
+  private final Random random;
+  private final List<Node> nodes = new ArrayList<>();
+  private final Set<Long> cuts = new HashSet<>();
+  private final PriorityQueue<Due> due =
+      new PriorityQueue<>(Comparator.comparingDouble(Due::at).thenComparingLong(Due::order));
+  private long order;
+  double now = 1_000_000_000;
+
+  World(int count, long seed, Terms terms) {
+    this.seed = seed;
+    this.terms = terms;
+    random = new Random(seed);
+    IntStream.range(0, count).forEach(i -> nodes.add(new Node()));
+    IntStream.range(0, count).forEach(this::start);
+  }
+
+  Membership at(int i) {
+    return nodes.get(i).membership;
+  }
+
+  void start(int i) {
+    Node n = nodes.get(i);
+    n.up = true;
+    n.starts++;
+    int life = n.starts;
+    n.membership = new Membership(i, new Card("n" + i, "z" + i % 2, "r", "b"), (long) (now + n.clockAhead) + n.starts,
+        IntStream.range(0, nodes.size()).boxed().toList(), terms, random.nextLong(), now + n.clockAhead);
+    tick(i, life);
+  }
+
+  private void tick(int i, int life) {
+    Node n = nodes.get(i);
+    if (!n.up || n.starts != life) {
+      return;
+    }
+    if (now < n.pausedUntil) {
+      plan(n.pausedUntil, () -> tick(i, life));
+      return;
+    }
+    perform(i, n.membership.tick(now + n.clockAhead));
+    plan(now + n.membership.tickEvery() + random.nextDouble(), () -> tick(i, life));
+  }
+
+  void perform(int by, List<Output> outputs) {
+    for (Output o : outputs) {
+      if (o instanceof Output.Send s) {
+        sent++;
+        deliver(by, s.to(), s.message());
+        if (random.nextDouble() < repeated) {
+          deliver(by, s.to(), s.message());
+        }
+      } else if (o instanceof Output.Changed c) {
+        verdicts.add(new Verdict(by, c.number(), c.before(), c.now(), now));
+      }
+    }
+  }
+
+  void deliver(int from, int to, Message message) {
+    if (to >= nodes.size() || random.nextDouble() < loss || cuts.contains((long) from << 32 | to)) {
+      return;
+    }
+    int life = nodes.get(to).starts;
+    plan(now + 0.5 + mostDelay * random.nextDouble() + nodes.get(to).late, () -> arrive(to, life, message));
+  }
+
+  private void arrive(int to, int life, Message message) {
+    Node n = nodes.get(to);
+    if (n.up && n.starts == life) {
+      if (now < n.pausedUntil) {
+        plan(n.pausedUntil, () -> arrive(to, life, message)); // it lies in the socket
+      } else {
+        perform(to, n.membership.heard(message, now + n.clockAhead));
+      }
+    }
+  }
+
+  void plan(double at, Runnable task) {
+    due.add(new Due(at, order++, task));
+  }
+
+  /** Lets so many ms pass. */
+  World run(double ms) {
+    double end = now + ms;
+    while (!due.isEmpty() && due.peek().at() <= end) {
+      Due next = due.poll();
+      now = Math.max(now, next.at());
+      next.task().run();
+    }
+    now = end;
+    return this;
+  }
+
+  /** Runs until it holds, and returns after how many ms; fails, naming the seed, after so many. */
+  double until(double most, String what, BooleanSupplier holds) {
+    double from = now;
+    while (!holds.getAsBoolean()) {
+      if (now > from + most) {
+        throw new AssertionError("seed " + seed + ": not within " + most + " ms: " + what);
+      }
+      run(50);
+    }
+    return now - from;
+  }
+
+  void kill(int i) {
+    nodes.get(i).up = false;
+  }
+
+  void pause(int i, double ms) {
+    nodes.get(i).pausedUntil = now + ms;
+  }
+
+  /** It comes to what it is sent so much later: a starved core. */
+  void slow(int i, double ms) {
+    nodes.get(i).late = ms;
+  }
+
+  void clockAhead(int i, double ms) {
+    nodes.get(i).clockAhead = ms;
+  }
+
+  void cut(int from, int to, boolean on) {
+    if (on) {
+      cuts.add((long) from << 32 | to);
+    } else {
+      cuts.remove((long) from << 32 | to);
+    }
+  }
+
+  boolean up(int i) {
+    return nodes.get(i).up;
+  }
+
+  int size() {
+    return nodes.size();
+  }
+
+  /** Whether each that runs holds this member so. */
+  boolean allHold(int of, Standing standing) {
+    return IntStream.range(0, size()).filter(i -> i != of && up(i)).allMatch(i -> at(i).standing(of) == standing);
+  }
+
+  boolean viewsEqual() {
+    return IntStream.range(0, size()).filter(this::up).map(i -> at(i).view()).distinct().count() == 1;
+  }
+
+  /** Verdicts of death on one that ran. */
+  List<Verdict> deaths() {
+    return verdicts.stream().filter(v -> v.now() == Standing.DEAD).toList();
+  }
+}
--- /dev/null
+++ b/src/test/java/bitternpulley/peers/EpochFileTest.java
@@ -0,0 +1,25 @@
+package bitternpulley.peers;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class EpochFileTest {
+  @TempDir
+  Path folder;
+
+  @Test
+  void growsWithEachStartThoughTheClockIsSetBack() throws IOException {
+    assertEquals(5000, EpochFile.next(folder, 5000));
+    assertEquals(5001, EpochFile.next(folder, 4000));
+    assertEquals(9000, EpochFile.next(folder, 9000));
+    Files.writeString(folder.resolve("bitternpulley-epoch"), "what");
+    assertEquals(9500, EpochFile.next(folder, 9500), "a file that tells nothing leaves the time");
+    assertEquals(7, EpochFile.next(null, 7));
+    assertEquals(8, EpochFile.next(folder.resolve("missing"), 8));
+  }
+}
--- /dev/null
+++ b/src/test/java/bitternpulley/peers/PeerCodecTest.java
@@ -0,0 +1,99 @@
+package bitternpulley.peers;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import bitternpulley.membership.Card;
+import bitternpulley.membership.Membership;
+import bitternpulley.membership.Message;
+import bitternpulley.membership.Output;
+import bitternpulley.membership.Rumor;
+import bitternpulley.membership.Standing;
+import bitternpulley.membership.Terms;
+import java.io.IOException;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+class PeerCodecTest {
+  private static final double NOW = 1.8e12;
+  private final PeerCodec codec = new PeerCodec("test");
+
+  private static Membership member() {
+    return new Membership(2047, new Card("a-name-of-24-characters!", "a-zone-of-24-characters!",
+        "a-region-of-24-character", "a-build-of-24-characters"), (long) NOW, IntStream.range(0, 40).boxed().toList(),
+        Terms.USUAL, 1, NOW);
+  }
+
+  private static List<Message> sent(List<Output> outputs) {
+    return outputs.stream().filter(o -> o instanceof Output.Send).map(o -> ((Output.Send) o).message()).toList();
+  }
+
+  /** Whatever the state machine sends fits a datagram and is read back as it was, with the longest names and numbers. */
+  @Property(tries = 100)
+  void allThatIsSentFitsAndIsReadBack(@ForAll long seed) throws IOException {
+    Random random = new Random(seed);
+    Membership m = member();
+    double now = NOW;
+    for (int i = 0; i < 200; i++) {
+      now += 100;
+      List<Message> out = new java.util.ArrayList<>(sent(m.tick(now)));
+      int from = random.nextInt(40);
+      Rumor about = new Rumor(random.nextInt(2048), (long) now - random.nextInt(1000), random.nextInt(1_000_000),
+          Standing.values()[random.nextInt(4)], random.nextInt(2048), random.nextBoolean() ? null
+          : new Card("another-name-of-24-chars", "another-zone-of-24-chars", "another-region-of-24-c", "another-build"));
+      out.addAll(sent(m.heard(new Message(Message.Kind.values()[random.nextInt(5)], from, (long) NOW, i, i, from,
+          random.nextInt(), List.of(about)), now)));
+      for (Message message : out) {
+        byte[] bytes = codec.encode(message);
+        assertTrue(bytes.length <= PeerCodec.MOST_BYTES);
+        assertEquals(message, codec.decode(bytes, bytes.length));
+      }
+    }
+  }
+
+  /** A datagram of chance is no message, or a message that the state machine bears. */
+  @Property
+  void whateverComesIsRefusedOrBorne(@ForAll @Size(max = 300) byte[] bytes) {
+    take(bytes);
+  }
+
+  /** The same for a good one with some bytes changed, which comes far further in. */
+  @Property(tries = 2000)
+  void aChangedMessageIsRefusedOrBorne(@ForAll long seed) {
+    Random random = new Random(seed);
+    Message good = sent(member().tick(NOW + 2000)).get(0);
+    byte[] bytes = codec.encode(good);
+    for (int i = 0; i <= random.nextInt(3); i++) {
+      bytes[random.nextInt(bytes.length)] = (byte) random.nextInt(256);
+    }
+    take(bytes);
+  }
+
+  private void take(byte[] bytes) {
+    Message message;
+    try {
+      message = codec.decode(bytes, bytes.length);
+    } catch (IOException e) {
+      return;
+    }
+    Membership m = new Membership(1, new Card("n1", "z", "r", "b"), (long) NOW, List.of(0, 1, 2), Terms.USUAL, 1, NOW);
+    m.heard(message, NOW);
+    m.tick(NOW + 100);
+    assertEquals(3, m.members().size());
+    assertTrue(m.members().stream().noneMatch(v -> v.standing() == Standing.DEAD));
+  }
+
+  @Test
+  void anotherDeploymentOrVersionIsForeign() {
+    byte[] bytes = codec.encode(new Message(Message.Kind.PING, 1, 5, 0, 1, 0, 0, List.of()));
+    assertThrows(PeerCodec.Foreign.class, () -> new PeerCodec("other").decode(bytes, bytes.length));
+    bytes[1] = 2;
+    assertThrows(PeerCodec.Foreign.class, () -> codec.decode(bytes, bytes.length));
+  }
+}
