A client's connection ends in order, and its end is always seen

Seen and cause: - HttpServer.take paused reads once bytes were sent ahead of their turn; the client's end behind them was never seen, and its request went on to slot servers. - A whole request was handed on before what lay behind it had been read, so one whose client had left already was begun. - Session.check, room and stopListening closed resting connections with a plain close: bytes unread then make it a reset. - stopListening closed the listener at once: whom the machine had accepted and the program had not was reset; a connection that had only just come up was closed before its first request. - The program ended while lingering closes were under way (busy did not count them), and could wait for a half-read request until after the platform's kill.

Change: what comes ahead is read and kept up to 256 KiB a connection (4 MiB in all, with bodies), read and dropped beyond, and its sender told so; whole requests are handed on at the end of the turn; idle connections end by a half-close and a short lingering close; on SIGTERM the backlog is accepted first, a fresh connection keeps 150 ms, a request not whole 0.2 s after that is told 503, and the program waits for clients' ends until just before it would be killed.

Ruled out: reading without any bound (memory); pausing with a look now and then (an end behind unread bytes cannot be seen without reading them).

--- a/src/main/java/bitternpulley/Aggregator.java
+++ b/src/main/java/bitternpulley/Aggregator.java
@@ -45,6 +45,12 @@
   /** Ms after SIGTERM for which connections are still taken: clients go on coming until the front has noticed. */
   private static final double GRACE = 450;
   private static final double DRAIN_CHECK = 20;
+  /**
+   * The platform kills the program so many ms after the longest deadline, which counts as at least so long, at the
+   * soonest; it ends a little before that by itself.
+   */
+  private static final double AFTER_LONGEST = 650;
+  private static final double LONGEST_LEAST = 3000;
   /** Ms for which a start waits for discovery's first word before it listens, and between looks. */
   private static final double LIST_TIME = 500;
   private static final double LIST_LOOK = 10;
@@ -199,6 +205,9 @@
     // Plays while discovery's word is awaited: what it takes of a start is time in which clients are not served.
     Rehearsal plays = new Rehearsal(config.settings(), loop);
     plays.play(config.wire().dear(), () -> whenListed(until, () -> {
+      if (draining) {
+        return; // told to end before it was ready
+      }
       if (!atOnce && !config.operations().passedSocket()) {
         listen();
       }
@@ -230,17 +239,13 @@
   }
 
   private void ready(Runnable rehearsal) {
-    if (draining) {
-      return; // told to end before it was ready
-    }
     if (config.operations().passedSocket()) {
       // Only now: what waits there meanwhile is for the process that is to be replaced.
       search.ifPresent(s -> listen(at -> s.front().listen(at, true), s.listen()));
       listen(at -> front.listen(PassedListener.inherited(loop)), config.listen());
       // Whether one is being replaced is not told; if so, what it has taken till its grace ends is past its deadline then.
       broker.submit(new Event.Beside(Router.Beside.PREDECESSOR));
-      double deadline = config.settings().classes().stream().mapToDouble(c -> c.deadline()).max().orElse(0);
-      loop.after(GRACE + deadline,
+      loop.after(GRACE + longestDeadline(),
           () -> broker.submit(new Event.Beside(draining ? Router.Beside.SUCCESSOR : Router.Beside.NONE)));
     }
     rehearsed = true;
@@ -352,10 +357,11 @@
         front.stopAccepting();
         broker.submit(new Event.Beside(Router.Beside.SUCCESSOR));
       }
+      double kill = clock.now() + Math.max(LONGEST_LEAST, longestDeadline()) + AFTER_LONGEST;
       loop.after(GRACE, () -> {
         front.stopListening();
         search.ifPresent(s -> s.front().stopListening());
-        awaitIdle();
+        awaitIdle(kill);
       });
     });
     try {
@@ -366,11 +372,17 @@
     System.exit(0);
   }
 
-  private void awaitIdle() {
-    if (broker.open() == 0 && front.busy() == 0 && search.stream().allMatch(s -> s.front().busy() == 0)) {
+  private double longestDeadline() {
+    return config.settings().classes().stream().mapToDouble(c -> c.deadline()).max().orElse(0);
+  }
+
+  /** Until nothing is owed, or all that was taken is past its time and the platform is about to kill the program. */
+  private void awaitIdle(double kill) {
+    boolean paid = broker.open() == 0 && front.busy() == 0 && search.stream().allMatch(s -> s.front().busy() == 0);
+    if (paid || clock.now() >= kill) {
       drained.countDown();
     } else {
-      loop.after(DRAIN_CHECK, this::awaitIdle);
+      loop.after(DRAIN_CHECK, () -> awaitIdle(kill));
     }
   }
 }
--- a/src/main/java/bitternpulley/broker/Effect.java
+++ b/src/main/java/bitternpulley/broker/Effect.java
@@ -9,8 +9,16 @@
 
 /** What the core asks the outside to do. */
 public sealed interface Effect {
-  /** Send an attempt of the slice {@code slice} of a request to a server, which may take {@code timeout} ms. */
-  record Start(AttemptId id, Request request, int slice, String server, double timeout) implements Effect {}
+  /**
+   * Send an attempt of the slice {@code slice} of a request to a server, which may take {@code timeout} ms. Where not a byte of
+   * it can go by the time {@code sendBy}, it ends unsent: a repeated part may wait for a connection, and its window goes on.
+   */
+  record Start(AttemptId id, Request request, int slice, String server, double timeout, double sendBy) implements Effect {
+    /** One that may be sent at any time. */
+    public Start(AttemptId id, Request request, int slice, String server, double timeout) {
+      this(id, request, slice, server, timeout, Double.POSITIVE_INFINITY);
+    }
+  }
 
   /** Stop waiting for an attempt. */
   record Abandon(AttemptId id, Request request, String server) implements Effect {}
--- a/src/main/java/bitternpulley/broker/Held.java
+++ b/src/main/java/bitternpulley/broker/Held.java
@@ -37,6 +37,8 @@
     int sent;
     Out out;
     boolean mayHaveRun;
+    /** When the first attempt that may have run was sent. */
+    double mayRunFrom = Double.POSITIVE_INFINITY;
     Effect.Answer.Missing last = new Effect.Answer.Missing(null, null, null);
 
     Part(Open open, int slice) {
--- a/src/main/java/bitternpulley/broker/Reducer.java
+++ b/src/main/java/bitternpulley/broker/Reducer.java
@@ -212,7 +212,10 @@
     }
     Part p = parts.get(id.part());
     p.out = null;
-    p.mayHaveRun |= !outcome.neverRan();
+    if (!outcome.neverRan()) {
+      p.mayHaveRun = true;
+      p.mayRunFrom = Math.min(p.mayRunFrom, out.sentAt);
+    }
     p.last = new Effect.Answer.Missing(outcome, out.server, value);
     if (outcome == Router.Outcome.OK) {
       p.open.values.put(p.slice, value);
@@ -253,6 +256,12 @@
     }
   }
 
+  /** Guards against a repeat that waits for a connection until its window is over. */
+  private double sendBy(Part p) {
+    Settings.QueryClass kind = settings.classes().get(p.open.request.requestClass());
+    return kind.effect() == Settings.Effect.KEYED ? p.mayRunFrom + kind.dedupWindow() : Double.POSITIVE_INFINITY;
+  }
+
   private void lookAgain(Part p) {
     if (p.out.dueAt < p.open.overdueAt) {
       p.open.overdueAt = p.out.dueAt;
@@ -332,7 +341,7 @@
       }
       double wait = Math.min(timeout, p.open.endsAt - now);
       p.out = new Out(id, server, now, now + wait);
-      effects.add(new Effect.Start(id, p.open.request, p.slice, server, wait));
+      effects.add(new Effect.Start(id, p.open.request, p.slice, server, wait, sendBy(p)));
       lookAgain(p);
     }
 
--- a/src/main/java/bitternpulley/config/ServerList.java
+++ b/src/main/java/bitternpulley/config/ServerList.java
@@ -47,9 +47,9 @@
       case "removed" -> Router.ServerState.GONE;
       default -> throw new ConfigException("server " + id + ": 'phase' is none that is known");
     };
-    // A removed server may come without an address.
+    // Only a server that is to be sent to needs an address. Guards against a drain that is not heard for want of one.
     HostPort address = m.hasNonNull("host_port") ? address(m, id) : null;
-    if (address == null && state != Router.ServerState.GONE) {
+    if (address == null && state == Router.ServerState.LIVE) {
       throw new ConfigException("server " + id + ": 'host_port' is missing");
     }
     int zone = Math.max(0, zones.indexOf(m.path("locality").asText("")));
--- a/src/main/java/bitternpulley/net/Connection.java
+++ b/src/main/java/bitternpulley/net/Connection.java
@@ -58,10 +58,14 @@
   private boolean writing;
   private boolean closing;
   private boolean lingering;
+  /** What comes in is read and dropped. */
+  private boolean dropping;
+  private boolean endedByPeer;
   private boolean closed;
   private boolean reading;
   private boolean paused;
   private int waiting;
+  private double linger = LINGER;
   private long written;
   private long dropped;
 
@@ -143,15 +147,15 @@
       return;
     }
     reading = true;
-    boolean drops = lingering;
+    boolean drops = dropping;
     in.clear();
     channel.read(drops ? DROPPED.duplicate() : in, null, handler(this, (Integer count) -> {
-      if (count < 0 || lingering && (dropped += count) > MOST_DROPPED) {
+      endedByPeer |= count < 0;
+      if (count < 0 || dropping && (dropped += count) > MOST_DROPPED) {
         close();
-      } else if (!closed && !drops && !lingering) {
+      } else if (!closed && !dropping) {
         owner.received(in.flip());
       }
-      // Only now: whoever resumes while the bytes are lent must not have them overwritten.
       reading = false;
       if (drops && !closed) {
         loop.after(DROP_PAUSE, this::read);
@@ -161,14 +165,17 @@
     }));
   }
 
-  /** Reads no more until {@link #resume}: what the peer sends ahead waits on its side, not in memory here. */
-  public void pause() {
+  /** Reads no more until our side has ended: for a peer that may end its own and still waits for an answer. */
+  void pause() {
     paused = true;
   }
 
-  public void resume() {
-    paused = false;
-    read();
+  /**
+   * From now on what the peer sends is read and dropped, up to a bound. Its end is still seen, as it would not be were
+   * nothing read any more.
+   */
+  void dropInput() {
+    dropping = true;
   }
 
   /** Writes bytes after what waits; {@code written} runs once the last of them has gone to the machine. */
@@ -251,21 +258,31 @@
     });
   }
 
-  /** Ends the connection once all that waits is written. */
+  /**
+   * Ends the connection once all that waits is written: a half-close, then a lingering close. Bytes that cross it are read
+   * and dropped, so that no reset destroys what was written before.
+   */
   public void closeAfterWrites() {
     closing = true;
     flush();
   }
 
+  /** As above, where the peer gets at most so many ms to end its side. */
+  void closeAfterWrites(double linger) {
+    this.linger = linger;
+    closeAfterWrites();
+  }
+
   /**
    * Guards against a reset that overtakes the last answer, as a close with unread bytes causes: our side is ended
    * first, and what still comes is read and dropped until the peer ends its own.
    */
   private void linger() {
     lingering = true;
+    dropping = true;
     try {
       output.end();
-      loop.after(LINGER, this::close);
+      loop.after(linger, this::close);
       read();
     } catch (IOException e) {
       close();
@@ -277,10 +294,20 @@
     return writes.isEmpty();
   }
 
+  /** Whether our side has ended and the peer's has not. */
+  boolean isLingering() {
+    return lingering && !closed;
+  }
+
   public boolean isClosed() {
     return closed;
   }
 
+  /** Whether the peer ended its side in order. Guards against a reset or a time-out that is taken for an end. */
+  boolean endedByPeer() {
+    return endedByPeer;
+  }
+
   /** Ends the connection at once. */
   public void close() {
     if (closed) {
--- a/src/main/java/bitternpulley/net/EventLoop.java
+++ b/src/main/java/bitternpulley/net/EventLoop.java
@@ -51,7 +51,7 @@
   }
 
   /** The time in ms, by which the ages of connections are told, and the lateness of turns. */
-  double now() {
+  public double now() {
     return clock.getAsDouble();
   }
 
--- a/src/main/java/bitternpulley/net/HttpClient.java
+++ b/src/main/java/bitternpulley/net/HttpClient.java
@@ -9,7 +9,7 @@
 /** Sends HTTP/1.1 requests, one at a time on a connection, over a bounded number of kept connections. */
 public final class HttpClient {
   /** How a call ended without a response. */
-  public enum Broken { NEVER_SENT, MAYBE_SENT }
+  public enum Broken { NEVER_SENT, NOT_IN_TIME, MAYBE_SENT }
 
   /** A whole response. */
   public record Response(HttpHead head, byte[] body) {
@@ -51,6 +51,11 @@
 
   /** Sends a request, whose bytes are its head and body; null where no more connections may be open. */
   public Call send(HostPort to, ByteBuffer request, Done done) {
+    return send(to, request, Double.POSITIVE_INFINITY, done);
+  }
+
+  /** As above, unless its connection comes up only after {@code sendBy}: then it ends unsent. */
+  public Call send(HostPort to, ByteBuffer request, double sendBy, Done done) {
     ArrayDeque<Link> kept = idle.get(to);
     Link link = kept == null ? null : kept.pollLast();
     if (link == null) {
@@ -64,7 +69,7 @@
         return null;
       }
     }
-    link.begin(request, done);
+    link.begin(request, sendBy, done);
     return link;
   }
 
@@ -81,6 +86,7 @@
     private final HttpParser parser = new HttpParser(true, mostBody, new WholeMessages(head -> { }, this::whole));
     private final Connection connection;
     private ByteBuffer request;
+    private double sendBy;
     private Done done;
     private boolean up;
     private boolean written;
@@ -97,8 +103,9 @@
       open++;
     }
 
-    void begin(ByteBuffer bytes, Done done) {
+    void begin(ByteBuffer bytes, double sendBy, Done done) {
       uses++;
+      this.sendBy = sendBy;
       request = bytes;
       written = false;
       this.done = done;
@@ -108,7 +115,10 @@
     }
 
     private void write() {
-      if (request != null) {
+      if (request != null && loop.now() > sendBy) {
+        end(Broken.NOT_IN_TIME, "there was no connection in time");
+        connection.close();
+      } else if (request != null) {
         connection.write(request, () -> written = true);
       }
     }
@@ -171,10 +181,14 @@
     }
 
     private void broken(String why) {
+      end(written ? Broken.MAYBE_SENT : Broken.NEVER_SENT, why);
+    }
+
+    private void end(Broken how, String why) {
       Done told = done;
       done = null;
       if (told != null) {
-        told.broken(written ? Broken.MAYBE_SENT : Broken.NEVER_SENT, why);
+        told.broken(how, why);
       }
     }
 
@@ -188,7 +202,8 @@
           idle.remove(to);
         }
       }
-      if (done != null && parser.ended() && answer != null) {
+      // Guards against a body without a length that was cut off and is taken for whole.
+      if (done != null && connection.endedByPeer() && parser.ended() && answer != null) {
         answered(true);
       } else {
         broken("the connection broke");
--- a/src/main/java/bitternpulley/net/HttpServer.java
+++ b/src/main/java/bitternpulley/net/HttpServer.java
@@ -25,6 +25,11 @@
   private static final double CROWD = 0.15;
   private static final int CROWD_LEAST = 16;
   private static final double UNUSED = 300;
+  /**
+   * Share of the places that is left for connections whose end is under way. Guards against a place that is made by a
+   * reset, with which a request on its way is answered when its connection has to go.
+   */
+  private static final double ENDING_SHARE = 0.125;
   /** Ms until accepting is tried again after it failed, as it does when descriptors run out. */
   private static final double ACCEPT_PAUSE = 50;
 
@@ -35,6 +40,15 @@
   private static final double QUIET_AFTER = 1000;
   private static final double LAST_WHOLE = 1800;
 
+  /**
+   * Once no more are to be taken: ms without a connection after which none waits to be accepted, and ms for which that is
+   * awaited at most. Guards against clients whose connections the machine has accepted and the program has not.
+   */
+  private static final double NONE_WAITS = 30;
+  private static final double LAST_ACCEPT = 150;
+  /** Ms after that in which a request must be whole: what the platform ends the program for may not come later. */
+  private static final double LAST_BYTES = 200;
+
   /** Ms that a client has to begin its first request, to send a whole one, and to begin the next. */
   public record Times(double first, double whole, double next) {
     /** Both ends of a bad connection come within 3 s; a good one is opened again at little cost. */
@@ -78,14 +92,17 @@
   private final Handler handler;
   private final int mostBody;
   private final int mostConnections;
+  private final int roomFrom;
   private final Times times;
-  private final Set<Session> sessions = new LinkedHashSet<>();
+  private final Set<HttpSession> sessions = new LinkedHashSet<>();
   private Listener listener;
   private int unused;
   private boolean accepting;
   private boolean draining;
   private boolean quiesced;
   private double quiescedAt;
+  private double stoppedAt = Double.POSITIVE_INFINITY;
+  private double lastAccepted;
   private long held;
 
   /** A server that holds so many connections, which have so much time. */
@@ -93,6 +110,7 @@
     this.loop = loop;
     this.mostBody = mostBody;
     this.mostConnections = mostConnections;
+    this.roomFrom = mostConnections - (int) (ENDING_SHARE * mostConnections);
     this.times = times;
     this.handler = handler;
   }
@@ -127,7 +145,8 @@
     accepting = true;
     listener.accept(connection -> {
       accepting = false;
-      Session session = new Session(connection);
+      lastAccepted = loop.now();
+      HttpSession session = new HttpSession(this, connection, mostBody);
       sessions.add(session);
       connection.start(session);
       accept();
@@ -143,8 +162,8 @@
   /** Ends what takes too long; one look for all, in place of an alarm for each. */
   private void sweep() {
     unused = 0;
-    for (Session s : Set.copyOf(sessions)) {
-      unused += s.count > 0 && s.idle() && loop.now() - s.since > UNUSED ? 1 : 0;
+    for (HttpSession s : Set.copyOf(sessions)) {
+      unused += s.unusedFor(UNUSED) ? 1 : 0;
       s.check();
     }
     accept();
@@ -154,24 +173,24 @@
   }
 
   /**
-   * Guards against running out of descriptors, and against silent clients that keep out the rest: when no more may be
+   * Guards against running out of descriptors, and against silent clients that keep out the rest: when hardly more may be
    * open, one that never said anything makes room, else the one longest idle, else one that does not end its request.
    */
   private boolean room() {
-    if (sessions.size() < mostConnections) {
+    if (sessions.size() < roomFrom) {
       return true;
     }
-    Session least = null;
-    for (Session s : sessions) {
-      if (s.claim() < Session.BUSY && (least == null || s.claim() < least.claim()
-          || s.claim() == least.claim() && s.since < least.since)) {
+    HttpSession least = null;
+    for (HttpSession s : sessions) {
+      if (s.claim() < HttpSession.BUSY && (least == null || s.claim() < least.claim()
+          || s.claim() == least.claim() && s.since() < least.since())) {
         least = s;
       }
     }
     if (least != null) {
-      least.connection.close();
+      least.makeRoom();
     }
-    return least != null;
+    return sessions.size() < mostConnections;
   }
 
   private boolean crowded() {
@@ -196,215 +215,90 @@
     }
   }
 
-  /** Takes no more connections and ends those that are idle; the others end with their answers. */
+  /** Takes those connections that already wait, then no more, and ends those that are idle; the others end with their answers. */
   public void stopListening() {
-    stopAccepting();
-    for (Session s : Set.copyOf(sessions)) {
-      if (s.idle()) {
-        s.connection.close();
-      }
-    }
+    stoppedAt = loop.now();
+    stopWhenNoneWaits();
+    Set.copyOf(sessions).forEach(HttpSession::check);
   }
 
-  /** Connections on which something is still owed: a request under way, or an answer not yet written. */
-  public int busy() {
-    return (int) sessions.stream().filter(Session::owes).count();
-  }
-
-  private final class Session implements Connection.Owner {
-    /** How strong a claim to its place a session has; none makes room that is busy. */
-    private static final int SILENT = 0;
-    private static final int IDLE = 1;
-    private static final int PARTIAL = 2;
-    private static final int BUSY = 3;
-
-    private final Connection connection;
-    private final WholeMessages messages = new WholeMessages(this::begun, this::whole);
-    private final HttpParser parser = new HttpParser(false, mostBody, messages);
-    private ByteBuffer ahead = ByteBuffer.allocate(0);
-    private Call call;
-    private boolean broken;
-    private int count;
-    private int mine;
-    /** When what was read last may have come. */
-    private double cameAt;
-    /** When it was opened, its request begun or its last answer written. */
-    private double since = loop.now();
-
-    Session(Connection connection) {
-      this.connection = connection;
-    }
-
-    boolean idle() {
-      return call == null && parser.idle() && !broken;
-    }
-
-    /** Once its last answer is written and its side ended, a connection owes nothing, whenever its client leaves. */
-    boolean owes() {
-      return call != null || !broken && !parser.idle() || !connection.isWritten();
-    }
-
-    int claim() {
-      boolean spared = loop.now() - since < SPARED;
-      if (idle()) {
-        return count > 0 ? IDLE : spared ? BUSY : SILENT;
-      }
-      return call != null || broken || spared ? BUSY : PARTIAL;
-    }
-
-    /** Guards against connections that are opened and left, and requests that are begun and never end. */
-    void check() {
-      double age = loop.now() - since;
-      double quiet = quiesced ? loop.now() - quiescedAt : 0;
-      if (quiet > QUIET_AFTER && idle() && age > QUIET_AFTER) {
-        connection.close();
-      } else if (quiet > LAST_WHOLE && since < quiescedAt + LAST_WHOLE && call == null && !broken && !parser.idle()) {
-        refuse(503, "clients are being sent away");
-      } else if (idle() && age > (count == 0 ? times.first() : times.next())) {
-        connection.close();
-      } else if (call == null && !broken && !parser.idle() && age > times.whole()) {
-        refuse(408, "the request did not end in time");
-      }
+  private void stopWhenNoneWaits() {
+    double now = loop.now();
+    if (now - Math.max(lastAccepted, stoppedAt) < NONE_WAITS && now - stoppedAt < LAST_ACCEPT) {
+      loop.after(NONE_WAITS, this::stopWhenNoneWaits);
+    } else {
+      stopAccepting();
     }
+  }
 
-    private void refuse(int status, String reason) {
-      broken = true;
-      release();
-      send(handler.unusable(status, reason), false);
-    }
+  /** Once no more are taken: connections on which something is still owed, be it only the client's end of them. */
+  public int busy() {
+    return (int) sessions.stream().filter(HttpSession::owes).count() + (listener != null && listener.isOpen() ? 1 : 0);
+  }
 
-    private void release() {
-      held -= mine;
-      mine = 0;
-    }
+  // --- For the sessions of this server, on the loop's thread -------------------------------------
 
-    @Override
-    public void received(ByteBuffer bytes) {
-      double seen = loop.now() - loop.unread();
-      // What a client sends behind an answer cannot have come before that.
-      cameAt = count > 0 && idle() ? Math.max(seen, Math.min(since, loop.now())) : seen;
-      take(bytes);
-    }
+  EventLoop loop() {
+    return loop;
+  }
 
-    private void take(ByteBuffer bytes) {
-      // Guards against a request that waits for good behind one answered at once: what is ahead is only kept
-      // while a call is under way, whose end takes it up.
-      while (call == null && bytes.hasRemaining() && !broken) {
-        parse(bytes);
-      }
-      if (bytes.hasRemaining() && !broken) {
-        // No more is read until then, so no client can pile up requests here.
-        ahead = ByteBuffer.allocate(bytes.remaining()).put(bytes).flip();
-        connection.pause();
-      }
-    }
+  Handler handler() {
+    return handler;
+  }
 
-    private void parse(ByteBuffer bytes) {
-      if (parser.idle()) {
-        since = loop.now();
-      }
-      try {
-        parser.read(bytes);
-        held += messages.held() - mine;
-        mine = messages.held();
-        if (held > MOST_HELD && mine > 0) {
-          // Guards against memory used up by many large bodies at once, none of them too large by itself.
-          throw new HttpException(503, "too much is being sent at once");
-        }
-      } catch (HttpException e) {
-        refuse(e.status(), e.getMessage());
-      }
-    }
+  Times times() {
+    return times;
+  }
 
-    private void begun(HttpHead head) {
-      if ("100-continue".equalsIgnoreCase(head.header("expect"))) {
-        connection.write(ascii("HTTP/1.1 100 Continue\r\n\r\n"), () -> { });
-      }
-    }
+  /** Whether a connection lasts beyond the answer that is being written. */
+  boolean keepsConnections() {
+    return !draining && !quiesced && !crowded();
+  }
 
-    private void whole(HttpHead head, byte[] body) {
-      // Least recently used first: an idle connection that must make room is the one longest unused.
-      sessions.remove(this);
-      sessions.add(this);
-      count++;
-      call = new Call(this, head.keepAlive());
-      try {
-        handler.handle(new Request(head, body, loop.now() - cameAt, loop.worstTurn()), call);
-      } catch (RuntimeException e) {
-        // Guards against a request that is lost because dealing with it failed.
-        LOG.log(Level.ERROR, "a request could not be dealt with", e);
-        call.reply(handler.unusable(500, "failed"));
-      }
-    }
+  /** Whether an idle connection that was used, or begun, so long ago is to end as clients are sent away. */
+  boolean endsIdle(double age, boolean used) {
+    boolean quiet = quiesced && loop.now() - quiescedAt > QUIET_AFTER && age > QUIET_AFTER;
+    // A client that has only just connected is about to ask.
+    return quiet || loop.now() >= stoppedAt && (used || age > SPARED);
+  }
 
-    private void send(Response r, boolean keep) {
-      boolean stays = keep && !draining && !quiesced && !crowded();
-      StringBuilder text = new StringBuilder("HTTP/1.1 ").append(r.status()).append(' ').append(reason(r.status()));
-      r.headers().forEach((name, value) -> text.append("\r\n").append(name).append(": ").append(value));
-      text.append("\r\nContent-Length: ").append(r.body().length);
-      text.append(stays ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n");
-      ByteBuffer first = ascii(text.toString());
-      ByteBuffer all = ByteBuffer.allocate(first.remaining() + r.body().length).put(first).put(r.body()).flip();
-      connection.write(all, () -> {
-        call = null;
-        since = loop.now();
-        if (ahead.hasRemaining() && stays) {
-          ByteBuffer next = ahead;
-          ahead = ByteBuffer.allocate(0);
-          take(next);
-          if (call == null) {
-            connection.resume();
-          }
-        }
-        accept();
-      });
-      if (!stays) {
-        broken = true;
-        connection.closeAfterWrites();
-      }
-    }
+  /** Whether a request that was begun then is too late to be taken, as clients are sent away. */
+  boolean tooLate(double begun) {
+    boolean quiet = quiesced && loop.now() - quiescedAt > LAST_WHOLE && begun < quiescedAt + LAST_WHOLE;
+    return quiet || loop.now() - stoppedAt > LAST_BYTES;
+  }
 
-    @Override
-    public void closed() {
-      sessions.remove(this);
-      release();
-      if (call != null && !call.replied && call.gone != null) {
-        call.gone.run();
-      }
-      accept();
-    }
+  boolean spares(double age) {
+    return age < SPARED;
   }
 
-  private static final class Call implements Exchange {
-    private final Session session;
-    private final boolean keep;
-    private Runnable gone;
-    private boolean replied;
+  /** Notes what a connection keeps of what is not yet dealt with; false where all together keep too much. */
+  boolean holds(long before, long after) {
+    held += after - before;
+    return held <= MOST_HELD || after == 0;
+  }
 
-    Call(Session session, boolean keep) {
-      this.session = session;
-      this.keep = keep;
-    }
+  /** Least recently used first: an idle connection that must make room is the one longest unused. */
+  void used(HttpSession session) {
+    sessions.remove(session);
+    sessions.add(session);
+  }
 
-    @Override
-    public void reply(Response response) {
-      if (!replied) {
-        replied = true;
-        session.send(response, keep);
-      }
-    }
+  void ended(HttpSession session) {
+    sessions.remove(session);
+    accept();
+  }
 
-    @Override
-    public void onGone(Runnable gone) {
-      this.gone = gone;
-    }
+  /** A place may be free, or an idle connection may make one. */
+  void lookForRoom() {
+    accept();
   }
 
   static ByteBuffer ascii(String text) {
     return ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1));
   }
 
-  private static String reason(int status) {
+  static String reason(int status) {
     return switch (status) {
       case 200 -> "OK";
       case 400 -> "Bad Request";
--- a/src/main/java/bitternpulley/opensearch/SearchServers.java
+++ b/src/main/java/bitternpulley/opensearch/SearchServers.java
@@ -63,7 +63,7 @@
   @Override
   public void start(Effect.Start attempt) {
     HostPort at = addresses.get(attempt.server());
-    HttpClient.Call call = at == null ? null : client.send(at, request(attempt, at), new HttpClient.Done() {
+    HttpClient.Call call = at == null ? null : client.send(at, request(attempt, at), attempt.sendBy(), new HttpClient.Done() {
       @Override
       public void response(HttpClient.Response response) {
         if (out.remove(attempt.id()) != null) {
@@ -74,8 +74,12 @@
       @Override
       public void broken(HttpClient.Broken how, String why) {
         if (out.remove(attempt.id()) != null) {
-          boolean sent = how == HttpClient.Broken.MAYBE_SENT;
-          broker.submit(new Event.Ended(attempt.id(), sent ? Outcome.RESET : Outcome.UNREACHABLE,
+          Outcome as = switch (how) {
+            case MAYBE_SENT -> Outcome.RESET;
+            case NEVER_SENT -> Outcome.UNREACHABLE;
+            case NOT_IN_TIME -> Outcome.MOOT;
+          };
+          broker.submit(new Event.Ended(attempt.id(), as,
               new PartHits.Failure(503, "node_not_connected_exception", why)));
         }
       }
--- a/src/main/java/bitternpulley/platform/Discovery.java
+++ b/src/main/java/bitternpulley/platform/Discovery.java
@@ -9,7 +9,6 @@
 import bitternpulley.net.HttpException;
 import bitternpulley.net.HttpHead;
 import bitternpulley.net.HttpParser;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.lang.System.Logger.Level;
@@ -19,22 +18,28 @@
 import java.util.Random;
 import java.util.function.Consumer;
 
-/** Watches discovery: one chunked answer that stays open, taken up again from the last revision when it ends. */
+/**
+ * Watches discovery: one chunked answer that stays open, taken up again from the last revision when it ends. One that falls
+ * silent is heard on until a fresh one speaks, whichever of the two does so first.
+ */
 public final class Discovery {
   private static final System.Logger LOG = System.getLogger(Discovery.class.getName());
-  private static final double CONNECT_TIMEOUT = 1000;
-  /** Ms until a watch that has ended is taken up again, at first and at most. */
+  private static final double CONNECT_TIMEOUT = 500;
+  /**
+   * Ms until a watch that has ended is taken up again, at first and at most. Guards against servers that drain as discovery
+   * returns: 250 ms after that, nothing may go to them.
+   */
   private static final double GAP = 50;
-  private static final double GAP_MOST = 1000;
+  private static final double GAP_MOST = 250;
   /** Share of a wait that chance takes off: guards against a herd of aggregators that ask again in step. */
   private static final double JITTER = 0.5;
   /**
-   * Ms between looks at a watch, and the looks in a row without a byte after which it is taken up again. A line comes
-   * every 2 s, and after 6 s all that discovery has to tell counts as told.
+   * Ms without a whole object or an empty line after which a fresh watch is opened: a line comes every 2 s. Guards against all
+   * that counts as told 6 s after the last line, also by a watch that brings bytes and never a whole one: three tries fit.
    */
-  private static final double LOOK = 1200;
-  private static final int SILENT_LOOKS = 3;
-  private static final int MOST_LINE = 1 << 20;
+  private static final double SILENCE = 3000;
+  /** The same for a watch that has not answered yet, which an agent does at once. */
+  private static final double HEAD_TIME = 1000;
 
   private final EventLoop loop;
   private HostPort at;
@@ -46,7 +51,7 @@
   private long unusable;
   private final Random random = new Random();
   private Watch current;
-  /** The watch at the address before, heard until the current one speaks; null once that has. */
+  /** A watch that spoke once, heard until the current one speaks: silent since, or at the address before. May be null. */
   private Watch leaving;
 
   public Discovery(EventLoop loop, HostPort at, List<String> zones, long revision, Consumer<ServerList> told) {
@@ -71,18 +76,29 @@
     LOG.log(Level.INFO, "discovery moves from " + at + " to " + to);
     at = to;
     gap = GAP;
-    if (leaving != null) {
-      leaving.end();
+    replace();
+  }
+
+  /** A fresh watch; of those before it, the one that spoke last is heard on. */
+  private void replace() {
+    Watch before = current;
+    if (before.spoke && leaving != null) {
+      leaving.close();
     }
-    leaving = current;
+    leaving = before.spoke ? before : leaving;
     start();
+    if (!before.spoke) {
+      before.close();
+    }
   }
 
-  private final class Watch implements Connection.Owner, HttpParser.Sink {
+  private final class Watch implements Connection.Owner, HttpParser.Sink, JsonTexts.Sink {
     private final HttpParser parser = new HttpParser(true, Long.MAX_VALUE, this);
-    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private final JsonTexts texts = new JsonTexts(this);
     private Connection connection;
-    private int heard;
+    private boolean answered;
+    private boolean spoke;
+    private double lastSign;
 
     void open() {
       if (this != current) {
@@ -91,24 +107,37 @@
       connection = Connection.open(loop, at, CONNECT_TIMEOUT, this, () -> {
         String get = "GET /api/targets?watch=1&from=" + revision + " HTTP/1.1\r\nHost: " + at + "\r\n\r\n";
         connection.write(ByteBuffer.wrap(get.getBytes(StandardCharsets.US_ASCII)), () -> { });
-        look(heard, 0);
+        lastSign = loop.now();
+        look();
       });
     }
 
-    private void look(int before, int silent) {
-      loop.after(LOOK, () -> {
-        int looks = heard == before ? silent + 1 : 0;
-        if (looks == SILENT_LOOKS) {
+    /** Looks whether a sign of life came within the time for one. */
+    private void look() {
+      double due = lastSign + (answered ? SILENCE : HEAD_TIME);
+      loop.after(due - loop.now(), () -> {
+        if (this != current || connection.isClosed()) {
+          return;
+        }
+        if (loop.now() < lastSign + (answered ? SILENCE : HEAD_TIME)) {
+          look();
+        } else if (spoke) {
+          LOG.log(Level.INFO, "discovery at " + at + " has fallen silent");
+          replace();
+        } else {
           connection.close();
-        } else if (!connection.isClosed()) {
-          look(heard, looks);
         }
       });
     }
 
+    void close() {
+      if (connection != null) {
+        connection.close();
+      }
+    }
+
     @Override
     public void received(ByteBuffer bytes) {
-      heard++;
       try {
         parser.read(bytes);
       } catch (HttpException | ConfigException | UncheckedIOException e) {
@@ -122,42 +151,46 @@
       if (head.status() != 200) {
         throw new HttpException(502, "status " + head.status());
       }
-      if (this == current && leaving != null) {
-        leaving.end();
-        leaving = null;
+      answered = true;
+      lastSign = loop.now();
+    }
+
+    /** What was sent is whole and of use. Guards against a watch that is answered, says nothing, and displaces one that does. */
+    private void sign() {
+      lastSign = loop.now();
+      spoke = true;
+      if (this == current) {
+        gap = GAP;
+        if (leaving != null) {
+          leaving.close();
+          leaving = null;
+        }
       }
     }
 
     @Override
     public void body(ByteBuffer piece) {
-      while (piece.hasRemaining()) {
-        byte b = piece.get();
-        if (b == '\n') {
-          take(line.toByteArray());
-          line.reset();
-        } else if (line.size() >= MOST_LINE) {
-          throw new HttpException(502, "a line holds at most " + MOST_LINE + " bytes");
-        } else {
-          line.write(b);
-        }
-      }
+      texts.read(piece);
     }
 
-    private void take(byte[] text) {
-      if (new String(text, StandardCharsets.UTF_8).isBlank()) {
-        return;
-      }
+    @Override
+    public void blank() {
+      sign();
+    }
+
+    @Override
+    public void object(byte[] text) {
       try {
         ServerList list = ServerList.read(Json.read(text), zones,
             e -> LOG.log(Level.WARNING, "discovery: left out: " + e.getMessage()));
         if (list.revision() < revision) {
           // Guards against an agent that lags behind the one before it: servers told to be gone would come back.
           LOG.log(Level.WARNING, "discovery tells revision " + list.revision() + " after " + revision);
-          return;
+        } else {
+          revision = list.revision();
+          told.accept(list);
         }
-        told.accept(list);
-        revision = list.revision();
-        gap = GAP;
+        sign();
       } catch (IOException e) {
         throw new UncheckedIOException(e);
       }
@@ -165,9 +198,7 @@
 
     @Override
     public void end() {
-      if (connection != null) {
-        connection.close();
-      }
+      close();
     }
 
     @Override
--- a/src/main/java/bitternpulley/platform/SlotServers.java
+++ b/src/main/java/bitternpulley/platform/SlotServers.java
@@ -222,13 +222,15 @@
   private static final class Call {
     final String id;
     final ByteBuffer frame;
+    final double sendBy;
     boolean written;
     /** What had been read on its connection by the time it was written. */
     long heard;
 
-    Call(String id, ByteBuffer frame) {
+    Call(String id, ByteBuffer frame, double sendBy) {
       this.id = id;
       this.frame = frame;
+      this.sendBy = sendBy;
     }
   }
 
@@ -265,6 +267,9 @@
         up = true;
         // No quicker than there and back, and often slower by far: with the work of both ends.
         way = Math.min(clock.now() - opened, WORD_SHARE * connectTimeout);
+        List<AttemptId> tooLate = calls.entrySet().stream().filter(c -> clock.now() > c.getValue().sendBy)
+            .map(Map.Entry::getKey).toList();
+        endUnsent(tooLate);
         List.copyOf(calls.values()).forEach(this::write);
       });
       open++;
@@ -283,7 +288,7 @@
     }
 
     void call(Effect.Start attempt, String id) {
-      Call call = new Call(id, Frames.call(attempt, id));
+      Call call = new Call(id, Frames.call(attempt, id), attempt.sendBy());
       calls.put(attempt.id(), call);
       byId.put(id, attempt.id());
       if (up) {
@@ -333,6 +338,12 @@
       waiting.forEach(a -> events.accept(new Event.Ended(a, Outcome.MOOT, null)));
     }
 
+    /** All of them first: whoever hears of one end may give up another. Told in a turn of their own, with no write between. */
+    private void endUnsent(List<AttemptId> these) {
+      these.forEach(this::remove);
+      loop.execute(() -> these.forEach(a -> events.accept(new Event.Ended(a, Outcome.MOOT, null))));
+    }
+
     private void remove(AttemptId attempt) {
       Call call = calls.remove(attempt);
       byId.remove(call.id, attempt);
--- a/src/test/java/bitternpulley/broker/ReducerTest.java
+++ b/src/test/java/bitternpulley/broker/ReducerTest.java
@@ -156,6 +156,30 @@
     assertTrue(answer(0) instanceof Effect.Answer.Failed);
   }
 
+  /** Guards against a repeat whose way to its server takes longer than what is left of its window. */
+  @Test
+  public void aKeyedRepeatSaysUntilWhenItMayBeSent() {
+    begin(settings(Settings.Effect.KEYED, 1));
+    ask(1, 0);
+    assertEquals(start(0).sendBy(), Double.POSITIVE_INFINITY);
+    now += 10;
+    tell(new Event.Ended(start(0).id(), Router.Outcome.FULL, null));
+    awaitStart(1);
+    assertEquals(start(1).sendBy(), Double.POSITIVE_INFINITY, "the first never ran");
+    double second = now;
+    now += 10;
+    tell(new Event.Ended(start(1).id(), Router.Outcome.ERROR, null));
+    awaitStart(2);
+    assertEquals(start(2).sendBy(), second + 400, "from the first that may have run");
+  }
+
+  private void awaitStart(int n) {
+    for (int i = 0; i < 20 && all(Effect.Start.class).size() <= n; i++) {
+      now += 20;
+      tell(new Event.Alarm("q1"));
+    }
+  }
+
   @Test
   public void moreThanMayBeHeldIsRefusedUnsent() {
     ask(1, 0, 1, 2, 3);
--- /dev/null
+++ b/src/test/java/bitternpulley/net/HttpClientTest.java
@@ -0,0 +1,92 @@
+package bitternpulley.net;
+
+import static org.testng.Assert.assertEquals;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Calls to a server whose side the test plays. */
+public class HttpClientTest implements HttpClient.Done {
+  private static final int PATIENCE_MS = 30_000;
+
+  private final BlockingQueue<String> ends = new LinkedBlockingQueue<>();
+  private EventLoop loop;
+  private HttpClient client;
+  private ServerSocket server;
+
+  @BeforeMethod
+  public void begin() throws IOException {
+    ends.clear();
+    loop = new EventLoop();
+    client = new HttpClient(loop, 1000, 4, 5000, 5000);
+    server = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"));
+    server.setSoTimeout(PATIENCE_MS);
+  }
+
+  @AfterMethod
+  public void end() throws IOException {
+    server.close();
+  }
+
+  @Override
+  public void response(HttpClient.Response response) {
+    ends.add(response.status() + " " + new String(response.body(), StandardCharsets.US_ASCII));
+  }
+
+  @Override
+  public void broken(HttpClient.Broken how, String why) {
+    ends.add(how.toString());
+  }
+
+  private void send(double sendBy) {
+    HostPort at = new HostPort("127.0.0.1", server.getLocalPort());
+    loop.execute(() -> client.send(at, ByteBuffer.wrap("GET / HTTP/1.1\r\n\r\n".getBytes()), sendBy, this));
+  }
+
+  private String next() throws InterruptedException {
+    return ends.poll(PATIENCE_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private void answerWithoutALength(boolean reset) throws IOException {
+    send(Double.POSITIVE_INFINITY);
+    try (Socket one = server.accept()) {
+      one.getInputStream().readNBytes(18);
+      one.getOutputStream().write("HTTP/1.1 200 OK\r\n\r\n{\"half\":1}".getBytes(StandardCharsets.US_ASCII));
+      one.setSoLinger(reset, 0);
+    }
+  }
+
+  @Test
+  public void anOrderlyEndIsTheEndOfAnAnswerWithoutALength() throws Exception {
+    answerWithoutALength(false);
+    assertEquals(next(), "200 {\"half\":1}");
+  }
+
+  /** Guards against an answer that was cut off and reads as though it were whole. */
+  @Test
+  public void aResetIsNoEnd() throws Exception {
+    answerWithoutALength(true);
+    assertEquals(next(), "MAYBE_SENT");
+  }
+
+  /** Guards against a repeat that waits for a connection until its window is over. */
+  @Test
+  public void whatIsTooLateWhenItsConnectionComesUpEndsUnsent() throws Exception {
+    send(loop.now());
+    try (Socket one = server.accept()) {
+      assertEquals(next(), "NOT_IN_TIME");
+      one.setSoTimeout(PATIENCE_MS);
+      assertEquals(one.getInputStream().read(), -1, "not a byte");
+    }
+  }
+}
--- a/src/test/java/bitternpulley/platform/SlotServersTest.java
+++ b/src/test/java/bitternpulley/platform/SlotServersTest.java
@@ -107,6 +107,21 @@
     }
   }
 
+  /** Guards against a repeat that waits for a connection until its window is over, and goes when that comes up. */
+  @Test
+  public void whatIsTooLateWhenItsConnectionComesUpEndsUnsent() throws Exception {
+    loop.execute(() -> {
+      servers.start(new Effect.Start(new AttemptId(0, 1), request, 0, "s", 2000, Clock.system().now()));
+      servers.start(new Effect.Start(new AttemptId(1, 0), request, 1, "s", 2000));
+    });
+    try (Socket first = server.accept()) {
+      assertEquals(frame(first), call(1), "the first thing that goes over it");
+      assertEquals(outcomes(1), List.of("0 MOOT"));
+      start(0, 2);
+      assertEquals(frame(first), call(0), "its name has not been used there");
+    }
+  }
+
   /** Guards against a connection that died without a word and takes in one part after another. */
   @Test
   public void aConnectionThatSaidNothingSinceAPartGivenUpIsLeft() throws IOException {
