Whatever step of a query's way fails or comes late, it has one answer and sends nothing more

Seen by review of each path that ends something, and shown by tests that were red before: - Where a site does not let work be called off, parts of a client that has left went out once their connection came up: the module calls nothing off there.

A test took the time of two clocks for one (SlotServersTest.whatIsTooLate...: red now and then); it sets the clock now, and asks the same.

Ruled out: one alarm for each query (cost at each query for what never happens): they are set after a failure alone.

--- a/src/main/java/bitternpulley/broker/Broker.java
+++ b/src/main/java/bitternpulley/broker/Broker.java
@@ -2,6 +2,7 @@
 
 import bitternpulley.leases.Leases;
 import bitternpulley.membership.Membership;
+import bitternpulley.routing.Router;
 import java.lang.System.Logger.Level;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -100,6 +101,8 @@
         e.request().dialect().start(e);
       } else if (effect instanceof Effect.Abandon e) {
         e.request().dialect().abandon(e);
+      } else if (effect instanceof Effect.TakeBack e) {
+        e.request().dialect().takeBack(e);
       } else if (effect instanceof Effect.Reply e) {
         e.request().dialect().reply(e);
       } else if (effect instanceof Effect.WakeAt e) {
@@ -128,6 +131,19 @@
     } catch (RuntimeException failure) {
       // Guards against one wire's fault keeping the effects behind it from being carried out.
       LOG.log(Level.ERROR, "could not carry out " + effect, failure);
+      makeGood(effect);
+    }
+  }
+
+  /** Guards against attempts that never end and clients that never hear, since a wire failed on the way to them. */
+  private void makeGood(Effect effect) {
+    if (effect instanceof Effect.Start e) {
+      perform(new Effect.Abandon(e.id(), e.request(), e.server()));
+      submit(new Event.Ended(e.id(), Router.Outcome.RESET, null));
+    } else if (effect instanceof Effect.Abandon e) {
+      submit(new Event.Abandoned(e.id()));
+    } else if (effect instanceof Effect.Reply e && !(e.answer() instanceof Effect.Answer.Failed)) {
+      perform(new Effect.Reply(e.request(), new Effect.Answer.Failed(Effect.Answer.Ending.UNTRIED)));
     }
   }
 }
--- a/src/main/java/bitternpulley/broker/Dialect.java
+++ b/src/main/java/bitternpulley/broker/Dialect.java
@@ -18,6 +18,12 @@
    */
   void withdraw(String server);
 
+  /**
+   * Takes back one attempt, unless a byte of it has gone: it ends as {@link bitternpulley.routing.Router.Outcome#MOOT}.
+   * Guards against sends for a client that has left, or had its answer, where nothing may be called off.
+   */
+  void takeBack(Effect.TakeBack attempt);
+
   /** Delivers the one final answer of a request. */
   void reply(Effect.Reply reply);
 
--- a/src/main/java/bitternpulley/broker/Effect.java
+++ b/src/main/java/bitternpulley/broker/Effect.java
@@ -23,6 +23,9 @@
   /** Stop waiting for an attempt. */
   record Abandon(AttemptId id, Request request, String server) implements Effect {}
 
+  /** Take back an attempt that serves nobody any more, if not a byte of it has gone: what has gone may not be called off here. */
+  record TakeBack(AttemptId id, Request request) implements Effect {}
+
   /** Take back what has not begun to go to a server, which is to have nothing new. */
   record Withdraw(String server) implements Effect {}
 
--- a/src/main/java/bitternpulley/broker/Event.java
+++ b/src/main/java/bitternpulley/broker/Event.java
@@ -10,6 +10,11 @@
 
 /** What can happen to the core. */
 public sealed interface Event {
+  /** What concerns one attempt. */
+  sealed interface OfAttempt extends Event {
+    AttemptId attempt();
+  }
+
   /** A request has come in whole. */
   record Taken(Request request) implements Event {}
 
@@ -20,16 +25,19 @@
   record Told(Router.ListKind kind, List<Router.Member> members) implements Event {}
 
   /** An attempt has ended by itself; {@code value} is what it brought, or null. */
-  record Ended(AttemptId attempt, Router.Outcome outcome, Payload value) implements Event {}
+  record Ended(AttemptId attempt, Router.Outcome outcome, Payload value) implements OfAttempt {}
 
   /** A server finds fault with the request itself: no other would take it either. */
-  record Faulted(AttemptId attempt, Payload reason) implements Event {}
+  record Faulted(AttemptId attempt, Payload reason) implements OfAttempt {}
 
   /** A server has been told that an attempt is given up, or was never asked. */
-  record Abandoned(AttemptId attempt) implements Event {}
+  record Abandoned(AttemptId attempt) implements OfAttempt {}
+
+  /** A request's time is over, and deciding on something of it may have failed: it must have its answer all the same. */
+  record Lapsed(long request) implements Event {}
 
   /** An attempt was never sent, since the rules forbid it. */
-  record Unsent(AttemptId attempt, String server) implements Event {}
+  record Unsent(AttemptId attempt, String server) implements OfAttempt {}
 
   /** An attempt's time is over; it is one of a request's, whose parts have the numbers from {@code first} on. */
   record Overdue(AttemptId attempt, long first, int parts) implements Event {
--- a/src/main/java/bitternpulley/broker/Reducer.java
+++ b/src/main/java/bitternpulley/broker/Reducer.java
@@ -13,12 +13,11 @@
 import java.lang.System.Logger.Level;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.TreeMap;
+import java.util.function.Function;
 
 /**
  * The one place where the state of requests, parts and attempts changes. It tells the module what happens, and turns
@@ -27,35 +26,34 @@
 public final class Reducer {
   private static final System.Logger LOG = System.getLogger(Reducer.class.getName());
 
-  /** Ms before a client's end from which an end without an answer counts as out of time: more where answers leave earlier. */
-  private static final double LATE = 100;
-
   private final Settings settings;
   private final Router router;
-  private final Map<Long, Open> requests = new HashMap<>();
-  private final Map<Long, Part> parts = new HashMap<>();
+  private final Held held = new Held();
   private final ArrayDeque<Event> inner = new ArrayDeque<>();
   private final Recorder recorder = new Recorder();
   private final Roster roster = new Roster();
   private final Accounts accounts;
   private final PeerState peers = new PeerState();
   private List<Effect> effects = new ArrayList<>();
-  private long nextPart = 1;
-  private int partsHeld;
   private double now;
 
   public Reducer(Settings settings, long seed, double now) {
-    this.settings = settings;
-    this.now = now;
     // One attempt of a part is out at a time here. Guards against a module that, where the site permits second copies,
     // counts on copies that end unsent: a part's attempts would be used up while a silent server sits on the first.
-    this.router = new Policy(settings.withoutCopies(), seed, now, recorder);
+    this(settings, now, recorder -> new Policy(settings.withoutCopies(), seed, now, recorder));
+  }
+
+  /** As above, with another module. */
+  Reducer(Settings settings, double now, Function<Router.Actions, Router> module) {
+    this.settings = settings;
+    this.now = now;
+    this.router = module.apply(recorder);
     this.accounts = new Accounts(settings);
   }
 
   /** Requests without a final answer. */
   public int open() {
-    return requests.size();
+    return held.requests().size();
   }
 
   /** How the teams' accounts stand, for operators. */
@@ -85,10 +83,7 @@
         router.settle(now, recorder);
       } catch (RuntimeException e) {
         LOG.log(Level.ERROR, "the module failed on " + next, e);
-        if (next instanceof Event.Taken taken) {
-          // Guards against a request that is lost because deciding on it failed.
-          end(taken.request().id(), new Effect.Answer.Failed(Effect.Answer.Ending.UNTRIED));
-        }
+        failed(next);
       }
     }
     return effects;
@@ -120,12 +115,14 @@
       router.ended(new Router.Ended(e.attempt().part(), e.attempt().number(), e.server(), Router.Outcome.MOOT, 0,
           null), now, recorder);
     } else if (event instanceof Event.Abandoned e) {
-      Out out = out(e.attempt());
+      Out out = held.out(e.attempt());
       if (out != null && out.given != null) {
         ended(e.attempt(), out.given, null);
       }
     } else if (event instanceof Event.Overdue e) {
       overdue(e);
+    } else if (event instanceof Event.Lapsed e) {
+      drop(e.request());
     } else if (event instanceof Event.Beside e) {
       router.beside(e.other());
     } else if (event instanceof Event.Alarm e) {
@@ -153,7 +150,7 @@
 
   /** Guards against parts sent before a server's drain was told whose bytes, held up on the way, would go after it. */
   private void withdraw() {
-    parts.values().stream().filter(p -> p.out != null && !roster.takesWork(p.out.server)).map(p -> p.out.server)
+    held.parts().stream().filter(p -> p.out != null && !roster.takesWork(p.out.server)).map(p -> p.out.server)
         .distinct().forEach(s -> effects.add(new Effect.Withdraw(s)));
   }
 
@@ -181,11 +178,8 @@
   private void hold(Request r, Charge charge) {
     Router.Terms terms = charge == null ? r.terms() : r.terms().under(charge.terms());
     double timeLeft = charge == null ? r.timeLeft() : Math.min(r.timeLeft(), charge.terms().deadline());
-    Open open = new Open(r, charge, now + timeLeft - r.late().unread(), now + r.late().left(timeLeft, LATE), nextPart);
-    requests.put(r.id(), open);
-    nextPart += r.slices().size();
-    partsHeld += r.slices().size();
-    OptionalDouble full = router.turnedAway(requests.size() + partsHeld);
+    Open open = held.hold(r, charge, timeLeft, now);
+    OptionalDouble full = router.turnedAway(held.count());
     if (full.isPresent()) {
       end(r.id(), new Effect.Answer.Refused(full.getAsDouble(), Effect.Answer.Ending.UNTRIED));
       return;
@@ -195,22 +189,16 @@
         0, terms, r.late()), now, recorder);
     for (int i = 0; i < r.slices().size(); i++) {
       Request.Slice s = r.slices().get(i);
-      parts.put(open.firstPart + i, new Part(open, i));
-      router.part(new Router.Part(open.firstPart + i, r.id(), s.shard(), s.weight(), s.work()), now, recorder);
+      router.part(new Router.Part(held.holdPart(open, i), r.id(), s.shard(), s.weight(), s.work()), now, recorder);
     }
   }
 
-  private Out out(AttemptId id) {
-    Part p = parts.get(id.part());
-    return p != null && p.out != null && p.out.id.equals(id) ? p.out : null;
-  }
-
   private void ended(AttemptId id, Router.Outcome outcome, Payload value) {
-    Out out = out(id);
+    Out out = held.out(id);
     if (out == null) {
       return;
     }
-    Part p = parts.get(id.part());
+    Part p = held.part(id.part());
     p.out = null;
     if (!outcome.neverRan()) {
       p.mayHaveRun = true;
@@ -220,18 +208,18 @@
     if (outcome == Router.Outcome.OK) {
       p.open.values.put(p.slice, value);
     }
-    tidy(id.part(), p);
+    held.tidy(id.part());
     accounts.attemptEnded(p.open.charge, outcome, now - out.sentAt, now, effects);
     router.ended(new Router.Ended(id.part(), id.number(), out.server, outcome, now - out.sentAt, null), now, recorder);
   }
 
   /** The request is its client's fault: no server is asked again, and the module hears that it is gone. */
   private void faulted(Event.Faulted e) {
-    Out out = out(e.attempt());
+    Out out = held.out(e.attempt());
     if (out == null) {
       return;
     }
-    long id = parts.get(e.attempt().part()).open.request.id();
+    long id = held.part(e.attempt().part()).open.request.id();
     end(id, new Effect.Answer.Faulty(e.reason()));
     ended(e.attempt(), Router.Outcome.ERROR, e.reason());
     router.gone(id, now, recorder);
@@ -241,7 +229,7 @@
   private void overdue(Event.Overdue e) {
     Part next = null;
     for (long id = e.first(); id < e.first() + e.parts(); id++) {
-      Part p = parts.get(id);
+      Part p = held.part(id);
       if (p != null) {
         p.open.overdueAt = Double.POSITIVE_INFINITY;
         if (p.out != null && (p.out.id.equals(e.attempt()) || p.out.dueAt <= now)) {
@@ -266,14 +254,48 @@
     if (p.out.dueAt < p.open.overdueAt) {
       p.open.overdueAt = p.out.dueAt;
       effects.add(new Effect.WakeAt(p.out.dueAt,
-          new Event.Overdue(p.out.id, p.open.firstPart, p.open.request.slices().size())));
+          new Event.Overdue(p.out.id, p.open.firstPart, p.open.parts())));
     }
   }
 
   private void giveUp(Out out, Router.Outcome as) {
     if (out.given == null) {
       out.given = as;
-      effects.add(new Effect.Abandon(out.id, parts.get(out.id.part()).open.request, out.server));
+      effects.add(new Effect.Abandon(out.id, held.part(out.id.part()).open.request, out.server));
+    }
+  }
+
+  /**
+   * Guards against requests that are lost because deciding on them failed: the one that the event was of ends at once; which
+   * others were to be decided on is not known, so each ends when its time is over, if nothing ends it before.
+   */
+  private void failed(Event event) {
+    Optional<Long> of = event instanceof Event.Taken e ? Optional.of(e.request().id())
+        : event instanceof Event.OfAttempt e ? held.requestOf(e.attempt()) : Optional.empty();
+    of.ifPresent(this::drop);
+    if (event instanceof Event.Taken e && effects.stream().noneMatch(
+        f -> f instanceof Effect.Reply r && r.request() == e.request())) {
+      effects.add(new Effect.Reply(e.request(), new Effect.Answer.Failed(Effect.Answer.Ending.UNTRIED)));
+    }
+    for (Open open : held.requests()) {
+      if (!open.lapses) {
+        open.lapses = true;
+        effects.add(new Effect.WakeAt(open.endsAt, new Event.Lapsed(open.request.id())));
+      }
+    }
+  }
+
+  private void drop(long id) {
+    Open open = held.request(id);
+    if (open == null) {
+      return;
+    }
+    end(id, new Effect.Answer.Failed(held.ending(open, now)));
+    held.outOf(open).forEach(out -> giveUp(out, Router.Outcome.CANCELLED));
+    try {
+      router.gone(id, now, recorder);
+    } catch (RuntimeException e) {
+      LOG.log(Level.ERROR, "the module failed on the end of request " + id, e);
     }
   }
 
@@ -286,54 +308,25 @@
     }
   }
 
-  private Effect.Answer.Ending ending(Open open) {
-    TreeMap<Integer, Effect.Answer.Missing> missing = new TreeMap<>();
-    boolean mayHaveRun = false;
-    for (int i = 0; i < open.request.slices().size(); i++) {
-      Part p = parts.get(open.firstPart + i);
-      if (p != null && !open.values.containsKey(i)) {
-        missing.put(i, p.out == null ? p.last : new Effect.Answer.Missing(null, p.out.server, null));
-      }
-      mayHaveRun |= p != null && (p.mayHaveRun || p.out != null);
-    }
-    // Given up a little earlier, since nothing could come in time any more, it is out of time all the same.
-    boolean unanswered = !missing.isEmpty() && missing.values().stream().allMatch(
-        m -> m.outcome() == Router.Outcome.TIMEOUT || m.outcome() == Router.Outcome.CANCELLED);
-    return new Effect.Answer.Ending(unanswered || now >= open.lateFrom, mayHaveRun, missing);
-  }
-
   private Open forget(long id) {
-    Open open = requests.remove(id);
-    if (open != null) {
-      int count = open.request.slices().size();
-      partsHeld -= count;
-      for (int i = 0; i < count; i++) {
-        Part p = parts.get(open.firstPart + i);
-        if (p != null) {
-          tidy(open.firstPart + i, p);
-        }
-      }
+    Open open = held.forget(id);
+    if (open != null && !settings.limits().cancel()) {
+      // Where what is out may be called off, the module does so.
+      held.outOf(open).forEach(out -> effects.add(new Effect.TakeBack(out.id, open.request)));
     }
     return open;
   }
 
-  private void tidy(long id, Part p) {
-    if (p.out == null && !requests.containsKey(p.open.request.id())) {
-      parts.remove(id);
-    }
-  }
-
   /** The module's actions as effects. */
   private final class Recorder implements Router.Actions {
     @Override
     public void send(long part, String server, double timeout) {
-      Part p = parts.get(part);
+      Part p = held.part(part);
       if (p == null) {
         return;
       }
       AttemptId id = new AttemptId(part, p.sent++);
-      boolean over = !requests.containsKey(p.open.request.id());
-      if (over || p.out != null || id.number() >= settings.limits().maxAttempts()
+            if (held.isOver(p) || p.out != null || id.number() >= settings.limits().maxAttempts()
           || !accounts.maySend(p.open.charge, id.number())) {
         // Guards against one attempt too many, whatever asked for it: it ends unsent.
         inner.add(new Event.Unsent(id, server));
@@ -347,7 +340,7 @@
 
     @Override
     public void cancel(long part, int attempt) {
-      Out out = out(new AttemptId(part, attempt));
+      Out out = held.out(new AttemptId(part, attempt));
       if (out != null) {
         giveUp(out, Router.Outcome.CANCELLED);
       }
@@ -355,25 +348,25 @@
 
     @Override
     public void answer(long query, boolean whole) {
-      Open open = requests.get(query);
+      Open open = held.request(query);
       if (open != null) {
-        end(query, new Effect.Answer.Answered(whole, new TreeMap<>(open.values), ending(open).missing()));
+        end(query, new Effect.Answer.Answered(whole, new TreeMap<>(open.values), held.ending(open, now).missing()));
       }
     }
 
     @Override
     public void refuse(long query, double pause) {
-      Open open = requests.get(query);
+      Open open = held.request(query);
       if (open != null) {
-        end(query, new Effect.Answer.Refused(pause, ending(open)));
+        end(query, new Effect.Answer.Refused(pause, held.ending(open, now)));
       }
     }
 
     @Override
     public void fail(long query) {
-      Open open = requests.get(query);
+      Open open = held.request(query);
       if (open != null) {
-        end(query, new Effect.Answer.Failed(ending(open)));
+        end(query, new Effect.Answer.Failed(held.ending(open, now)));
       }
     }
 
--- a/src/main/java/bitternpulley/net/Connection.java
+++ b/src/main/java/bitternpulley/net/Connection.java
@@ -193,6 +193,14 @@
     flush();
   }
 
+  /** Takes back what waits to be written; false where a byte of it may have gone. */
+  public boolean takeBack(ByteBuffer bytes) {
+    boolean waits = bytes.position() == 0
+        && writes.removeIf(p -> p.bytes == bytes && !(writing && p == writes.peek()));
+    waiting -= waits ? bytes.remaining() : 0;
+    return waits;
+  }
+
   private void flush() {
     while (!writing && !closed && !writes.isEmpty()) {
       Pending next = writes.peek();
--- a/src/main/java/bitternpulley/opensearch/SearchServers.java
+++ b/src/main/java/bitternpulley/opensearch/SearchServers.java
@@ -100,6 +100,16 @@
     }
   }
 
+  @Override
+  public void takeBack(Effect.TakeBack attempt) {
+    Out left = out.get(attempt.id());
+    if (left != null && !left.call().begun()) {
+      out.remove(attempt.id());
+      left.call().drop();
+      loop.execute(() -> broker.submit(new Event.Ended(attempt.id(), Outcome.MOOT, null)));
+    }
+  }
+
   @Override
   public void withdraw(String server) {
     List<AttemptId> unsent = out.entrySet().stream().filter(o -> o.getValue().server().equals(server)
--- a/src/main/java/bitternpulley/platform/Rehearsal.java
+++ b/src/main/java/bitternpulley/platform/Rehearsal.java
@@ -171,6 +171,11 @@
     // Its servers never drain.
   }
 
+  @Override
+  public void takeBack(Effect.TakeBack attempt) {
+    // Nothing waits to be sent.
+  }
+
   @Override
   public void closeIdle(String server) {
     // There are no connections.
--- a/src/main/java/bitternpulley/platform/SlotServers.java
+++ b/src/main/java/bitternpulley/platform/SlotServers.java
@@ -83,10 +83,9 @@
 
   /** One look for all connections: guards against an alarm for each time that one of them falls idle. */
   private void sweep() {
-    double now = clock.now();
     for (List<Link> all : List.copyOf(links.values())) {
       for (Link l : List.copyOf(all)) {
-        if (l.calls.isEmpty() && (now - l.idleSince > idleAfter || !addresses.containsKey(l.server))) {
+        if (l.idleTooLong() || l.calls.isEmpty() && !addresses.containsKey(l.server)) {
           l.close();
         }
       }
@@ -149,6 +148,8 @@
 
   /** The connection with the fewest parts out, a fresh one where those are many; null where there is none. */
   private Link link(String server, HostPort at, String part) {
+    // Guards against a frame that crosses the server's close of a connection idle for too long, of which the sweep comes late.
+    List.copyOf(links.getOrDefault(server, List.of())).stream().filter(Link::idleTooLong).forEach(Link::close);
     List<Link> all = links.getOrDefault(server, List.of());
     Link least = null;
     for (Link l : all) {
@@ -210,6 +211,14 @@
     }
   }
 
+  @Override
+  public void takeBack(Effect.TakeBack attempt) {
+    Link link = out.get(attempt.id());
+    if (link != null && link.unsent(attempt.id())) {
+      link.endUnsent(List.of(attempt.id()));
+    }
+  }
+
   @Override
   public void closeIdle(String server) {
     for (Link l : List.copyOf(links.getOrDefault(server, List.of()))) {
@@ -275,6 +284,10 @@
       open++;
     }
 
+    boolean idleTooLong() {
+      return calls.isEmpty() && clock.now() - idleSince > idleAfter;
+    }
+
     /** Guards against one answer taken for another: a part's name is used once on a connection. */
     boolean knows(String part) {
       return givenUp.contains(part) || byId.containsKey(part);
@@ -301,10 +314,14 @@
       connection.write(call.frame, () -> call.written = true);
     }
 
+    /** Whether not a byte of it has gone, and now none will. */
+    boolean unsent(AttemptId attempt) {
+      return !up || connection.takeBack(calls.get(attempt).frame);
+    }
+
     void abandon(AttemptId attempt) {
       Call call = calls.get(attempt);
-      if (!up) {
-        // Not a byte of it has gone, and none will.
+      if (unsent(attempt)) {
         remove(attempt);
         events.accept(new Event.Abandoned(attempt));
         return;
--- a/src/test/java/bitternpulley/broker/ReducerTest.java
+++ b/src/test/java/bitternpulley/broker/ReducerTest.java
@@ -6,8 +6,12 @@
 
 import bitternpulley.routing.Router;
 import bitternpulley.routing.Settings;
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Proxy;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.PriorityQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -281,4 +285,88 @@
   private List<Effect.WakeAt> overdueAlarms() {
     return all(Effect.WakeAt.class).stream().filter(w -> w.event() instanceof Event.Overdue).toList();
   }
+
+  /** Guards against sends for a client that has left, at a site where nothing may be called off. */
+  @Test
+  public void whereNothingMayBeCalledOffWhatIsUnsentIsTakenBackAsItsRequestEnds() {
+    begin(withLimits(settings(Settings.Effect.SAFE, 1), new Settings.Limits(4, 8, false, false, false, true, 500, 250)));
+    ask(1, 0, 1);
+    assertEquals(all(Effect.Start.class).size(), 2);
+    tell(new Event.Left(1));
+    assertEquals(all(Effect.TakeBack.class).stream().map(Effect.TakeBack::id).toList(),
+        all(Effect.Start.class).stream().map(Effect.Start::id).toList());
+    assertEquals(all(Effect.Abandon.class), List.of());
+    all(Effect.Start.class).forEach(s -> tell(new Event.Ended(s.id(), Router.Outcome.MOOT, null)));
+    assertEquals(all(Effect.Reply.class), List.of());
+  }
+
+  private static Settings withLimits(Settings s, Settings.Limits limits) {
+    return new Settings(s.self(), s.instances(), s.zone(), s.tick(), s.listOnRequest(), s.marksRetry(), s.classes(),
+        s.tenants(), s.overShareWorth(), s.worthByWork(), s.layout(), limits, s.rules(), s.prices());
+  }
+
+  /** The module, but for one call, counted from the first query on, which throws. */
+  private static Router failingAt(Router module, int call, AtomicInteger calls) {
+    return (Router) Proxy.newProxyInstance(Router.class.getClassLoader(), new Class<?>[] {Router.class}, (p, method, given) -> {
+      if ((calls.get() > 0 || method.getName().equals("query")) && calls.incrementAndGet() == call) {
+        throw new IllegalStateException("as asked for, in " + method.getName());
+      }
+      try {
+        return method.invoke(module, given);
+      } catch (InvocationTargetException e) {
+        throw e.getCause();
+      }
+    });
+  }
+
+  /** Plays two queries to their end, where each attempt is answered after 50 ms; effects that hand events back are obeyed. */
+  private int playWithAFaultAt(int call) {
+    Settings settings = settings(Settings.Effect.SAFE, 1);
+    AtomicInteger calls = new AtomicInteger();
+    now = 1000;
+    effects.clear();
+    reducer = new Reducer(settings, now,
+        recorder -> failingAt(new bitternpulley.policy.Policy(settings, 7, now, recorder), call, calls));
+    tell(new Event.Told(Router.ListKind.REMEMBERED, IntStream.range(0, 4).mapToObj(
+        i -> new Router.Member("s" + i, i % 2, i, Router.ServerState.LIVE, 0)).toList()));
+    ask(1, 0, 1);
+    ask(2, 2, 3);
+    record Due(double at, Event event) {}
+    PriorityQueue<Due> due = new PriorityQueue<>(java.util.Comparator.comparingDouble(Due::at));
+    for (int seen = 0; ; ) {
+      for (; seen < effects.size(); seen++) {
+        Effect e = effects.get(seen);
+        if (e instanceof Effect.Start s) {
+          due.add(new Due(now + 50, new Event.Ended(s.id(), Router.Outcome.OK, new Word("v"))));
+        } else if (e instanceof Effect.Abandon a) {
+          due.add(new Due(now + 1, new Event.Abandoned(a.id())));
+        } else if (e instanceof Effect.WakeAt w) {
+          due.add(new Due(Math.max(w.time(), now), w.event()));
+        }
+      }
+      Due next = due.poll();
+      if (next == null || next.at() > 10_000) {
+        break;
+      }
+      now = next.at();
+      tell(next.event());
+      for (Effect.Reply r : all(Effect.Reply.class)) {
+        assertTrue(now <= 4000 || !effects.subList(seen, effects.size()).contains(r), "late, with a fault at call " + call);
+      }
+    }
+    assertEquals(all(Effect.Reply.class).stream().map(r -> r.request().id()).sorted().toList(), List.of(1L, 2L),
+        "one final answer each, with a fault at call " + call);
+    assertEquals(reducer.open(), 0);
+    return calls.get();
+  }
+
+  /** Guards against requests that are lost since deciding on them failed, at whatever step of their way. */
+  @Test
+  public void whateverStepFailsEachRequestHasItsOneFinalAnswerInTime() {
+    int calls = playWithAFaultAt(-1);
+    assertTrue(calls > 10, "steps: " + calls);
+    for (int call = 1; call <= calls; call++) {
+      playWithAFaultAt(call);
+    }
+  }
 }
--- a/src/test/java/bitternpulley/platform/SlotServersTest.java
+++ b/src/test/java/bitternpulley/platform/SlotServersTest.java
@@ -110,8 +110,12 @@
   /** Guards against a repeat that waits for a connection until its window is over, and goes when that comes up. */
   @Test
   public void whatIsTooLateWhenItsConnectionComesUpEndsUnsent() throws Exception {
+    double[] now = {0};
+    servers = new SlotServers(loop, events::add, () -> now[0], new Configuration.Wire(100, 15_000, false), 5000, 10, 4);
     loop.execute(() -> {
-      servers.start(new Effect.Start(new AttemptId(0, 1), request, 0, "s", 2000, Clock.system().now()));
+      servers.address("s", new HostPort("127.0.0.1", server.getLocalPort()));
+      servers.start(new Effect.Start(new AttemptId(0, 1), request, 0, "s", 2000, 0));
+      now[0] = 1; // before it can come up
       servers.start(new Effect.Start(new AttemptId(1, 0), request, 1, "s", 2000));
     });
     try (Socket first = server.accept()) {
@@ -332,4 +336,134 @@
       assertEquals(socket.getInputStream().read(), -1);
     }
   }
+
+  /** Guards against a frame that crosses the server's close of a connection that has been idle for too long. */
+  @Test
+  public void aConnectionIdleForTooLongCarriesNothingMoreHoweverLateItIsLookedAt() throws Exception {
+    double[] now = {0};
+    servers = new SlotServers(loop, events::add, () -> now[0], new Configuration.Wire(100, 1000, false), 5000, 10, 4);
+    loop.execute(() -> servers.address("s", new HostPort("127.0.0.1", server.getLocalPort())));
+    start(0, 0);
+    try (Socket idle = server.accept()) {
+      assertEquals(frame(idle), call(0));
+      idle.getOutputStream().write(answer(0, "00000000000000aa"));
+      assertEquals(outcomes(1), List.of("0 OK"));
+      loop.execute(() -> now[0] = 801);
+      start(1, 0);
+      try (Socket fresh = server.accept()) {
+        assertEquals(frame(fresh), call(1));
+        assertEquals(idle.getInputStream().read(), -1, "not a byte of it");
+      }
+    }
+  }
+
+  /** Guards against sends for nobody, where nothing that has gone may be called off. */
+  @Test
+  public void anAttemptIsTakenBackOnlyWhileNotAByteOfItHasGone() throws Exception {
+    loop.execute(() -> {
+      servers.start(new Effect.Start(new AttemptId(0, 0), request, 0, "s", 2000));
+      servers.takeBack(new Effect.TakeBack(new AttemptId(0, 0), request));
+    });
+    assertEquals(outcomes(1), List.of("0 MOOT"));
+    start(1, 0);
+    try (Socket socket = server.accept()) {
+      assertEquals(frame(socket), call(1), "over the connection that has come up, and nothing of the other");
+      loop.execute(() -> servers.takeBack(new Effect.TakeBack(new AttemptId(1, 0), request)));
+      socket.getOutputStream().write(answer(1, "00000000000000aa"));
+      assertEquals(outcomes(2), List.of("0 MOOT", "1 OK"));
+    }
+  }
+
+  /** Guards against parts that go out over a connection that comes up late, when they were called off or withdrawn before. */
+  @Test
+  public void aConnectionThatComesUpLateCarriesNothingThatWasCalledOffBefore() throws Exception {
+    try (ServerSocket busy = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+      busy.setSoTimeout(PATIENCE_MS);
+      List<Socket> before = new java.util.ArrayList<>();
+      try {
+        for (int i = 0; i < 16; i++) { // until the machine holds no more of them: the next comes up late
+          Socket s = new Socket();
+          before.add(s);
+          s.connect(busy.getLocalSocketAddress(), 200);
+        }
+        throw new AssertionError("the machine holds them all");
+      } catch (SocketTimeoutException e) {
+        before.remove(before.size() - 1).close();
+      }
+      loop.execute(() -> servers.address("s", new HostPort("127.0.0.1", busy.getLocalPort())));
+      start(0, 0);
+      start(1, 0);
+      loop.execute(() -> servers.abandon(new Effect.Abandon(new AttemptId(0, 0), request, "s")));
+      await(1);
+      assertEquals(events, List.of(new Event.Abandoned(new AttemptId(0, 0))), "at once: it was never sent");
+      for (Socket s : before) {
+        busy.accept().close();
+        s.close();
+      }
+      try (Socket late = busy.accept()) {
+        assertEquals(frame(late), call(1), "and only that");
+        late.getOutputStream().write(answer(1, "00000000000000aa"));
+        await(2);
+        loop.execute(() -> servers.forget("s"));
+        assertEquals(late.getInputStream().read(), -1);
+      }
+    }
+  }
+
+  /** Guards against an answer that has begun and never ends, and takes the time of its part. */
+  @Test
+  public void halfAnAnswerAndThenSilenceIsAFailedAttempt() throws Exception {
+    start(0, 0);
+    try (Socket socket = server.accept()) {
+      assertEquals(frame(socket), call(0));
+      socket.getOutputStream().write(answer(0, "00000000000000aa"), 0, 9);
+      assertEquals(outcomes(1), List.of("0 ERROR"));
+      assertEquals(socket.getInputStream().read(), -1);
+    }
+  }
+
+  /** Guards against an answer that was cut off by a reset and counts as never run, or as whole. */
+  @Test
+  public void aResetUnderABegunAnswerMayHaveRunAndEndsEachPartOnce() throws Exception {
+    start(0, 0);
+    start(1, 0);
+    try (Socket socket = server.accept()) {
+      assertEquals(frame(socket), call(0));
+      assertEquals(frame(socket), call(1));
+      socket.getOutputStream().write(answer(0, "00000000000000aa"), 0, 9);
+      socket.setSoLinger(true, 0);
+    }
+    assertEquals(outcomes(2), List.of("0 RESET", "1 RESET"));
+  }
+
+  @Test
+  public void aFrameThatItsServerCannotUseIsAFailedAttempt() throws Exception {
+    start(0, 0);
+    try (Socket socket = server.accept()) {
+      assertEquals(frame(socket), call(0));
+      socket.getOutputStream().write(FrameCodec.encode('X', "what is this".getBytes()).array());
+      assertEquals(outcomes(1), List.of("0 ERROR"));
+      assertEquals(socket.getInputStream().read(), -1);
+    }
+  }
+
+  /** Guards against a value that comes after its part was given up and is taken for something, or harms another part. */
+  @Test
+  public void aValueAfterItsCancelHarmsNoOther() throws Exception {
+    start(0, 0);
+    start(1, 0);
+    try (Socket socket = server.accept()) {
+      assertEquals(frame(socket), call(0));
+      assertEquals(frame(socket), call(1));
+      loop.execute(() -> servers.abandon(new Effect.Abandon(new AttemptId(0, 0), request, "s")));
+      assertEquals(frame(socket), "2q.0");
+      await(1);
+      assertEquals(events, List.of(new Event.Abandoned(new AttemptId(0, 0))));
+      socket.getOutputStream().write(answer(0, "00000000000000aa"));
+      socket.getOutputStream().write(answer(1, "00000000000000bb"));
+      await(2);
+      assertEquals(((Event.Ended) events.get(1)).attempt(), new AttemptId(1, 0));
+      assertEquals(((Event.Ended) events.get(1)).outcome(), Router.Outcome.OK);
+    }
+  }
 }
