A fresh watch that is answered and says nothing is replaced in time

Seen by a test that plays discovery step by step: after a watch fell silent, a fresh one that was answered and then mute was given 3 s of its own, so that the next came 6,048 ms after the silence began; what it missed counts as told after 6,000.

Cause: Discovery.look gave SILENCE to any watch with a head. Change: the first word must come within 2.2 s (a line comes every 2 s). A watch for which no socket could be had was never taken up again (Discovery.open): it is now.

--- a/src/main/java/bitternpulley/platform/Discovery.java
+++ b/src/main/java/bitternpulley/platform/Discovery.java
@@ -40,6 +40,11 @@
   private static final double SILENCE = 3000;
   /** The same for a watch that has not answered yet, which an agent does at once. */
   private static final double HEAD_TIME = 1000;
+  /**
+   * Ms from its coming up within which a watch that is answered must say its first word: a line comes every 2 s. Guards
+   * against one that is answered and says nothing while what the one before has missed comes to count as told.
+   */
+  private static final double FIRST_WORD = 2200;
 
   private final EventLoop loop;
   private HostPort at;
@@ -98,28 +103,42 @@
     private Connection connection;
     private boolean answered;
     private boolean spoke;
+    private double upAt;
     private double lastSign;
 
     void open() {
       if (this != current) {
         return; // moved while it waited for its turn
       }
-      connection = Connection.open(loop, at, CONNECT_TIMEOUT, this, () -> {
-        String get = "GET /api/targets?watch=1&from=" + revision + " HTTP/1.1\r\nHost: " + at + "\r\n\r\n";
-        connection.write(ByteBuffer.wrap(get.getBytes(StandardCharsets.US_ASCII)), () -> { });
-        lastSign = loop.now();
-        look();
-      });
+      try {
+        connection = Connection.open(loop, at, CONNECT_TIMEOUT, this, this::ask);
+      } catch (UncheckedIOException e) {
+        // Guards against a watch that is never taken up again because not even a socket could be had for it.
+        LOG.log(Level.WARNING, "no socket for discovery: " + e.getMessage());
+        closed();
+      }
+    }
+
+    private void ask() {
+      String get = "GET /api/targets?watch=1&from=" + revision + " HTTP/1.1\r\nHost: " + at + "\r\n\r\n";
+      connection.write(ByteBuffer.wrap(get.getBytes(StandardCharsets.US_ASCII)), () -> { });
+      upAt = loop.now();
+      lastSign = upAt;
+      look();
+    }
+
+    /** Until when the next sign of life must have come. */
+    private double due() {
+      return spoke ? lastSign + SILENCE : answered ? upAt + FIRST_WORD : upAt + HEAD_TIME;
     }
 
     /** Looks whether a sign of life came within the time for one. */
     private void look() {
-      double due = lastSign + (answered ? SILENCE : HEAD_TIME);
-      loop.after(due - loop.now(), () -> {
+      loop.after(due() - loop.now(), () -> {
         if (this != current || connection.isClosed()) {
           return;
         }
-        if (loop.now() < lastSign + (answered ? SILENCE : HEAD_TIME)) {
+        if (loop.now() < due()) {
           look();
         } else if (spoke) {
           LOG.log(Level.INFO, "discovery at " + at + " has fallen silent");
@@ -152,7 +171,6 @@
         throw new HttpException(502, "status " + head.status());
       }
       answered = true;
-      lastSign = loop.now();
     }
 
     /** What was sent is whole and of use. Guards against a watch that is answered, says nothing, and displaces one that does. */
