A class that may not be repeated needs no key

Test: red with 400 before; it also asks that an unsafe part that may have run is not sent again, and that one that never ran is refused.

--- a/src/main/java/bitternpulley/opensearch/SearchFront.java
+++ b/src/main/java/bitternpulley/opensearch/SearchFront.java
@@ -210,7 +210,7 @@
         new Search.Asked(instance + "-" + id, asker.token(), parameters,
             answer -> done.accept(SearchResponse.of(search[0], answer, clock.now() - since))), body, config);
     Settings.QueryClass kind = settings.classes().get(search[0].requestClass());
-    if (kind.effect() != Settings.Effect.SAFE && asker.token() == null) {
+    if (kind.effect() == Settings.Effect.KEYED && asker.token() == null) {
       throw SearchException.illegal("class [" + kind.name() + "] needs an Idempotency-Key header");
     }
     int most = settings.limits().maxOpen() - 1;
--- a/src/test/java/bitternpulley/process/PlatformProcessTest.java
+++ b/src/test/java/bitternpulley/process/PlatformProcessTest.java
@@ -49,6 +49,23 @@
     assertEquals(Deployment.call(d.listen, without, "").status(), 400);
   }
 
+  /** Guards against a class of an effect that this program's first deployment has not: its clients send no key. */
+  @Test
+  public void aClassThatMayNotBeRepeatedNeedsNoKeyAndIsNotRepeatedOnceItMayHaveRun() throws IOException {
+    d.close();
+    d = new Deployment();
+    ((com.fasterxml.jackson.databind.node.ObjectNode) d.config().at("/settings/requestClasses/2")).put("effect", "side_effect");
+    d.startAndAwaitReady();
+    String query = Deployment.query("stock-report", "u1", 4, 2).replaceAll("Idempotency-Key: [^\r]*\r\n", "");
+    assertEquals(Deployment.call(d.listen, query, "").status(), 200);
+    everyServer(Act.FULL);
+    assertEquals(Deployment.call(d.listen, query.replace("u1", "u2"), "").status(), 429, "it has never run");
+    everyServer(Act.RESET);
+    assertEquals(Deployment.call(d.listen, query.replace("u1", "u3"), "").status(), 500, "it may have run");
+    assertEquals(d.log.all().stream().filter(a -> a.part.startsWith("u3")).count(), 1);
+    assertTrue(d.servers.stream().flatMap(s -> s.heads.stream()).noneMatch(h -> h.contains(",k=")));
+  }
+
   @Test
   public void aPartThatOneServerFailsIsServedByTheOther() throws IOException {
     for (Act bad : List.of(Act.ERROR, Act.FULL, Act.RESET, Act.GARBAGE)) {
