--- a/src/main/java/bitternpulley/broker/Held.java
+++ b/src/main/java/bitternpulley/broker/Held.java
@@ -17,6 +17,8 @@
 final class Held {
   /** Ms before a client's end from which an end without an answer counts as out of time: more where answers leave earlier. */
   private static final double LATE = 100;
+  /** Share of a client's time that this takes at most: some wait for less. */
+  private static final double LATE_SHARE = 0.25;
 
   private final Map<Long, Open> requests = new HashMap<>();
   private final Map<Long, Part> parts = new HashMap<>();
@@ -86,7 +88,7 @@
 
   /** Begins to hold a request, whose time is over after so many ms; its parts follow one by one. */
   Open hold(Request r, Charge charge, double timeLeft, double now) {
-    Open open = new Open(r, charge, now + timeLeft - r.late().unread(), now + r.late().left(timeLeft, LATE), nextPart);
+    Open open = new Open(r, charge, now + timeLeft - r.late().unread(), now + r.late().left(timeLeft, Math.min(LATE, LATE_SHARE * timeLeft)), nextPart);
     requests.put(r.id(), open);
     nextPart += open.parts();
     partsHeld += open.parts();
--- a/src/test/java/bitternpulley/broker/ReducerTest.java
+++ b/src/test/java/bitternpulley/broker/ReducerTest.java
@@ -241,6 +241,14 @@
     assertTrue(((Effect.Answer.Refused) answer(0)).ending().late());
   }
 
+  /** Guards against a client that waits for less than our own lead, and is told at once that its time is over. */
+  @Test
+  public void oneWhoWaitsForVeryLittleIsNotLateFromTheStart() {
+    tell(new Event.Told(Router.ListKind.COMPLETE, List.of()));
+    tell(new Event.Taken(new Request(1, null, 0, 80, false, Router.Terms.OF_CLASS, List.of(new Request.Slice(0, 1, 0)), null)));
+    assertFalse(((Effect.Answer.Refused) answer(0)).ending().late());
+  }
+
   /** Guards against parts that wait on the way to a server while it begins to drain, or leaves the list. */
   @Test
   public void whatIsOutAtAServerThatTakesNothingNewIsTakenBack() {
--- a/src/test/java/bitternpulley/process/Deployment.java
+++ b/src/test/java/bitternpulley/process/Deployment.java
@@ -235,8 +235,17 @@
   }
 
   void tellOf(int told, StandIn server, String phase) throws IOException {
+    tell(list(false, List.of(server), phase).put("revision", told));
+  }
+
+  /** Tells a whole list. */
+  void tellAll(List<StandIn> of) throws IOException {
+    tell(list(true, of, "up").put("revision", ++revision));
+  }
+
+  private void tell(ObjectNode list) throws IOException {
     await("a watch", () -> !watching.isEmpty());
-    String line = list(false, List.of(server), phase).put("revision", told) + "\n";
+    String line = list + "\n";
     Socket socket = watching.get(watching.size() - 1);
     for (String piece : List.of(line.substring(0, 20), line.substring(20))) {
       socket.getOutputStream().write((Integer.toHexString(piece.length()) + "\r\n" + piece + "\r\n").getBytes());
--- a/src/test/java/bitternpulley/process/EndingsProcessTest.java
+++ b/src/test/java/bitternpulley/process/EndingsProcessTest.java
@@ -239,6 +239,67 @@
     assertEquals(d.ask("slot-search", "known", 0, 1).status(), 200);
   }
 
+  /** Guards against a rush of starts in which each waits for the others' part of the machine, or for discovery. */
+  @Test
+  public void manyThatStartAtOnceWithDiscoverySilentAreReadyInTime() throws Exception {
+    CountDownLatch never = new CountDownLatch(1);
+    List<Deployment> all = new ArrayList<>();
+    try {
+      for (int i = 0; i < 5; i++) {
+        Deployment one = new Deployment();
+        all.add(one);
+        one.firstWord = () -> {
+          try {
+            never.await();
+          } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+          }
+          return null;
+        };
+      }
+      long from = System.nanoTime();
+      for (Deployment one : all) {
+        one.start();
+      }
+      all.forEach(Deployment::awaitReady);
+      assertTrue(System.nanoTime() - from < TimeUnit.SECONDS.toNanos(10));
+    } finally {
+      for (Deployment one : all) {
+        one.close();
+      }
+    }
+  }
+
+  /** Guards against sends to a server that a whole list names no more. */
+  @Test
+  public void aServerThatAWholeListLeavesOutGetsNothingNew() throws Exception {
+    StandIn left = d.servers.get(2); // of the zone that is asked first
+    d.tellAll(d.servers.stream().filter(s -> s != left).toList());
+    Deployment.await("it is heeded", () -> {
+      try {
+        int before = left.heads.size();
+        return d.ask("slot-search", "w" + System.nanoTime(), 1, 2).status() == 200 && left.heads.size() == before;
+      } catch (IOException e) {
+        throw new AssertionError(e);
+      }
+    });
+    int before = left.heads.size();
+    for (int i = 0; i < 10; i++) {
+      assertEquals(d.ask("slot-search", "x" + i, 1, 2).status(), 200);
+    }
+    assertEquals(left.heads.size(), before);
+  }
+
+  private long held(String of) throws IOException {
+    try (var lines = java.nio.file.Files.lines(java.nio.file.Path.of("/proc", String.valueOf(d.process.pid()), "status"))) {
+      return lines.filter(l -> l.startsWith(of)).mapToLong(l -> Long.parseLong(l.replaceAll("[^0-9]", ""))).findFirst().orElseThrow();
+    }
+  }
+
+  private int descriptors() {
+    return new java.io.File("/proc/" + d.process.pid() + "/fd").list().length;
+  }
+
   /** Floods: much at once, silent connections, bodies that never end; sound clients are served beside them. */
   @Test
   public void soundClientsAreServedBesideAFlood() throws Exception {
@@ -258,6 +319,8 @@
     for (int i = 0; i < 30; i++) {
       assertEquals(d.ask("slot-search", "sound" + i, i % 6).status(), 200);
     }
+    assertTrue(held("VmHWM") < 192 * 1024, "memory at the most: " + held("VmHWM") + " kB");
+    assertTrue(descriptors() < 1024, "descriptors: " + descriptors());
     int told = 0;
     for (Socket s : bad) {
       if (!s.isClosed()) {
