Rename: AdminEndpoint, Timeouts by what they time, closeGracefully

Door hid an admin endpoint, Times the time-outs of first byte, request and keep-alive, closeAfterWrites a graceful close (half-close and lingering). No behaviour changes.

--- a/src/main/java/bitternpulley/Aggregator.java
+++ b/src/main/java/bitternpulley/Aggregator.java
@@ -1,6 +1,6 @@
 package bitternpulley;
 
-import bitternpulley.admin.Door;
+import bitternpulley.admin.AdminEndpoint;
 import bitternpulley.admin.StandingFile;
 import bitternpulley.broker.Broker;
 import bitternpulley.broker.Clock;
@@ -38,7 +38,7 @@
 import java.util.stream.Stream;
 
 /** One real aggregator: puts the parts together, and takes them out of service on SIGTERM. */
-final class Aggregator implements Door.Program {
+final class Aggregator implements AdminEndpoint.Program {
   private static final System.Logger LOG = System.getLogger(Aggregator.class.getName());
   private static final int MOST_BODY = 64 * 1024;
   /** Descriptors kept for the JVM's own files, discovery and the listeners. */
@@ -71,7 +71,7 @@
   private final Optional<SearchSide> search;
   private final Discovery discovery;
   private final Preparation preparation;
-  private final Door door;
+  private final AdminEndpoint admin;
   private final Optional<Peers> peers;
   private boolean anyServer;
   private boolean draining;
@@ -101,9 +101,9 @@
         new QueryFront(config.settings(), broker, servers, () -> anyServer && rehearsed && !draining && !quiesced,
             () -> this.agreed.recognition());
     servers.answersTo(queries::reply);
-    front = new HttpServer(loop, MOST_BODY, clients, HttpServer.Times.USUAL, queries);
+    front = new HttpServer(loop, MOST_BODY, clients, HttpServer.Timeouts.USUAL, queries);
     search = searchConfig.map(c -> searchSide(c, connectTimeout, links, clients));
-    door = new Door(loop, broker, new StandingFile(config.operations().folder()), this);
+    admin = new AdminEndpoint(loop, broker, new StandingFile(config.operations().folder()), this);
     // No lambda: to link one that makes it would load the class where membership is off.
     peers = agreed.membership().isEmpty() ? Optional.empty()
         : Optional.of(new Peers(loop, broker, config, agreed.membership().get(), build()));
@@ -122,7 +122,7 @@
     HttpClient client = new HttpClient(loop, c.maxPartBytes(), links, connectTimeout, config.wire().idleAfter());
     SearchServers to = new SearchServers(loop, broker, client, c.serverPort());
     broker.add(to);
-    HttpServer server = new HttpServer(loop, MOST_BODY, clients, HttpServer.Times.USUAL,
+    HttpServer server = new HttpServer(loop, MOST_BODY, clients, HttpServer.Timeouts.USUAL,
         new SearchFront(config.settings(), c, broker, to, clock, config.name(), () -> agreed.recognition()));
     return new SearchSide(to, server, c.listen());
   }
@@ -162,7 +162,7 @@
     // Behind the task that serves, so that no new configuration comes before the first.
     if (!Signals.onEach("HUP", () -> aggregator.reload(told -> { }))) {
       LOG.log(Level.WARNING, "SIGHUP is ignored, as whoever started this program (nohup, a service manager) had it ignored,"
-          + " and the JVM leaves it so: reload by signal is off; call 'reload' at the operators' door instead");
+          + " and the JVM leaves it so: reload by signal is off; call 'reload' at the operators' admin endpoint instead");
     }
   }
 
@@ -185,7 +185,7 @@
   private void serve(Runnable rehearsal) {
     loop.watchItself();
     if (config.operations().admin().isPresent()) {
-      openDoor(config.operations().admin().get());
+      openAdmin(config.operations().admin().get());
     }
     if (peers.isPresent()) {
       peers.get().prepare();
@@ -258,9 +258,9 @@
   }
 
   /** What operators have ordered holds before the first list is heard, and so before the first send. */
-  private void openDoor(HostPort at) {
-    door.takeUp();
-    listen(door::listen, at);
+  private void openAdmin(HostPort at) {
+    admin.takeUp();
+    listen(admin::listen, at);
   }
 
   private interface Listening {
--- a/src/main/java/bitternpulley/admin/Door.java
+++ b/src/main/java/bitternpulley/admin/AdminEndpoint.java
@@ -13,9 +13,9 @@
 import java.lang.System.Logger.Level;
 import java.util.function.Consumer;
 
-/** The operators' door: one line in, one line back, which starts with 200 or 400. It decides nothing itself. */
-public final class Door implements LineServer.Handler, Operators {
-  private static final System.Logger LOG = System.getLogger(Door.class.getName());
+/** The operators' admin endpoint, which these pages call their door: one line in, one line back, which starts with 200 or 400. It decides nothing itself. */
+public final class AdminEndpoint implements LineServer.Handler, Operators {
+  private static final System.Logger LOG = System.getLogger(AdminEndpoint.class.getName());
 
   /** The program that the door belongs to. */
   public interface Program {
@@ -39,7 +39,7 @@
   private final StandingFile file;
   private final Program program;
 
-  public Door(EventLoop loop, Broker broker, StandingFile file, Program program) {
+  public AdminEndpoint(EventLoop loop, Broker broker, StandingFile file, Program program) {
     this.loop = loop;
     this.broker = broker;
     this.file = file;
--- a/src/main/java/bitternpulley/net/Connection.java
+++ b/src/main/java/bitternpulley/net/Connection.java
@@ -270,15 +270,15 @@
    * Ends the connection once all that waits is written: a half-close, then a lingering close. Bytes that cross it are read
    * and dropped, so that no reset destroys what was written before.
    */
-  public void closeAfterWrites() {
+  public void closeGracefully() {
     closing = true;
     flush();
   }
 
   /** As above, where the peer gets at most so many ms to end its side. */
-  void closeAfterWrites(double linger) {
+  void closeGracefully(double linger) {
     this.linger = linger;
-    closeAfterWrites();
+    closeGracefully();
   }
 
   /**
--- a/src/main/java/bitternpulley/net/HttpServer.java
+++ b/src/main/java/bitternpulley/net/HttpServer.java
@@ -50,9 +50,9 @@
   private static final double LAST_BYTES = 200;
 
   /** Ms that a client has to begin its first request, to send a whole one, and to begin the next. */
-  public record Times(double first, double whole, double next) {
+  public record Timeouts(double firstByte, double request, double keepAlive) {
     /** Both ends of a bad connection come within 3 s; a good one is opened again at little cost. */
-    public static final Times USUAL = new Times(2000, 2200, 5000);
+    public static final Timeouts USUAL = new Timeouts(2000, 2200, 5000);
   }
 
   /**
@@ -93,7 +93,7 @@
   private final int mostBody;
   private final int mostConnections;
   private final int roomFrom;
-  private final Times times;
+  private final Timeouts timeouts;
   private final Set<HttpSession> sessions = new LinkedHashSet<>();
   private Listener listener;
   private int unused;
@@ -107,12 +107,12 @@
   private long held;
 
   /** A server that holds so many connections, which have so much time. */
-  public HttpServer(EventLoop loop, int mostBody, int mostConnections, Times times, Handler handler) {
+  public HttpServer(EventLoop loop, int mostBody, int mostConnections, Timeouts timeouts, Handler handler) {
     this.loop = loop;
     this.mostBody = mostBody;
     this.mostConnections = mostConnections;
     this.roomFrom = mostConnections - (int) (ENDING_SHARE * mostConnections);
-    this.times = times;
+    this.timeouts = timeouts;
     this.handler = handler;
   }
 
@@ -265,8 +265,8 @@
     return handler;
   }
 
-  Times times() {
-    return times;
+  Timeouts timeouts() {
+    return timeouts;
   }
 
   /** Whether a connection lasts beyond the answer that is being written. */
--- a/src/main/java/bitternpulley/net/HttpSession.java
+++ b/src/main/java/bitternpulley/net/HttpSession.java
@@ -106,12 +106,12 @@
 
   /** Guards against connections that are opened and left, and requests that are begun and never end. */
   void check() {
-    HttpServer.Times times = server.times();
-    if (idle() && (age() > (count == 0 ? times.first() : times.next()) || server.endsIdle(age(), count > 0))) {
+    HttpServer.Timeouts timeouts = server.timeouts();
+    if (idle() && (age() > (count == 0 ? timeouts.firstByte() : timeouts.keepAlive()) || server.endsIdle(age(), count > 0))) {
       end();
     } else if (call == null && !broken && !parser.idle() && server.tooLate(since)) {
       refuse(503, "clients are being sent away");
-    } else if (call == null && !broken && !parser.idle() && age() > times.whole()) {
+    } else if (call == null && !broken && !parser.idle() && age() > timeouts.request()) {
       refuse(408, "the request did not end in time");
     }
   }
@@ -119,7 +119,7 @@
   /** Ends an idle connection in order: a request that crosses the end is not read, and its client sees no reset. */
   private void end() {
     broken = true;
-    connection.closeAfterWrites(CROSSING);
+    connection.closeGracefully(CROSSING);
   }
 
   private void refuse(int status, String reason) {
@@ -265,7 +265,7 @@
     });
     if (!stays) {
       broken = true;
-      connection.closeAfterWrites();
+      connection.closeGracefully();
     }
   }
 
--- a/src/main/java/bitternpulley/net/LineServer.java
+++ b/src/main/java/bitternpulley/net/LineServer.java
@@ -95,7 +95,7 @@
 
     private void answer(String text) {
       connection.write(ByteBuffer.wrap((text + "\n").getBytes(StandardCharsets.UTF_8)), () -> { });
-      connection.closeAfterWrites();
+      connection.closeGracefully();
     }
 
     @Override
--- a/src/main/java/bitternpulley/standin/SlotServer.java
+++ b/src/main/java/bitternpulley/standin/SlotServer.java
@@ -26,7 +26,7 @@
   private static final Pattern SECTION = Pattern.compile("_shards:([0-9]{1,6})");
   private static final int MOST_BODY = 64 * 1024;
   private static final int MOST_CONNECTIONS = 2000;
-  private static final HttpServer.Times PATIENT = new HttpServer.Times(60_000, 60_000, 60_000);
+  private static final HttpServer.Timeouts PATIENT = new HttpServer.Timeouts(60_000, 60_000, 60_000);
 
   private final String id;
   private final int cell;
--- a/src/test/java/bitternpulley/net/HttpEndingsTest.java
+++ b/src/test/java/bitternpulley/net/HttpEndingsTest.java
@@ -36,12 +36,12 @@
     handled.clear();
     open.clear();
     gone.set(0);
-    listen(1000, HttpServer.Times.USUAL);
+    listen(1000, HttpServer.Timeouts.USUAL);
   }
 
-  private void listen(int connections, HttpServer.Times times) throws IOException {
+  private void listen(int connections, HttpServer.Timeouts timeouts) throws IOException {
     loop = new EventLoop();
-    server = new HttpServer(loop, 64 * 1024, connections, times, this);
+    server = new HttpServer(loop, 64 * 1024, connections, timeouts, this);
     at = server.listen(new HostPort("127.0.0.1", 0));
   }
 
@@ -321,7 +321,7 @@
   /** Ends while the turn is held till they are due: sweep and request race for the next turn, and each order is good. */
   @Test(invocationCount = 20)
   public void aRequestThatCrossesTheIdleTimeOutIsAnsweredOrSeesAnOrderlyEnd() throws Exception {
-    listen(1000, new HttpServer.Times(2000, 2200, 20));
+    listen(1000, new HttpServer.Timeouts(2000, 2200, 20));
     try (Socket client = connect(request("/first", ""))) {
       assertEquals(status(client), 200);
       double from = loop.now();
@@ -339,7 +339,7 @@
   @Test(invocationCount = 5)
   public void aRequestThatCrossesItsConnectionsMakingRoomIsAnsweredOrSeesAnOrderlyEnd() throws Exception {
     int places = 16;
-    listen(places, HttpServer.Times.USUAL);
+    listen(places, HttpServer.Timeouts.USUAL);
     List<Socket> clients = new ArrayList<>();
     for (int i = 0; i < places - 2; i++) {
       clients.add(connect(request("/first" + i, "")));
@@ -432,7 +432,7 @@
   @Test
   public void clientsThatAreHeldBackAreServedOnceTheyAreLetIn() throws Exception {
     loop = new EventLoop();
-    server = new HttpServer(loop, 64 * 1024, 100, HttpServer.Times.USUAL, this);
+    server = new HttpServer(loop, 64 * 1024, 100, HttpServer.Timeouts.USUAL, this);
     server.holdBack();
     at = server.listen(new HostPort("127.0.0.1", 0));
     try (Socket client = connect(request("/early", ""))) {
--- a/src/test/java/bitternpulley/net/HttpServerTest.java
+++ b/src/test/java/bitternpulley/net/HttpServerTest.java
@@ -22,7 +22,7 @@
 
   @BeforeMethod
   public void listen() throws IOException {
-    HttpServer server = new HttpServer(new EventLoop(), 100, 2, new HttpServer.Times(10_000, 50, 10_000), this);
+    HttpServer server = new HttpServer(new EventLoop(), 100, 2, new HttpServer.Timeouts(10_000, 50, 10_000), this);
     at = server.listen(new HostPort("127.0.0.1", 0));
   }
 
@@ -71,7 +71,7 @@
   /** Guards against connections that are opened and then left. */
   @Test
   public void aConnectionThatSaysNothingIsClosed() throws IOException {
-    HttpServer server = new HttpServer(new EventLoop(), 100, 2, new HttpServer.Times(50, 10_000, 10_000), this);
+    HttpServer server = new HttpServer(new EventLoop(), 100, 2, new HttpServer.Timeouts(50, 10_000, 10_000), this);
     at = server.listen(new HostPort("127.0.0.1", 0));
     try (Socket silent = connect("")) {
       assertEquals(silent.getInputStream().read(), -1);
@@ -82,7 +82,7 @@
   @Test
   public void unfinishedBodiesAreBoundedTogether() throws IOException {
     int most = 2 << 20;
-    HttpServer server = new HttpServer(new EventLoop(), most, 3, new HttpServer.Times(10_000, 10_000, 10_000), this);
+    HttpServer server = new HttpServer(new EventLoop(), most, 3, new HttpServer.Timeouts(10_000, 10_000, 10_000), this);
     at = server.listen(new HostPort("127.0.0.1", 0));
     String part = "POST / HTTP/1.1\r\nContent-Length: " + most + "\r\n\r\n" + "x".repeat(most - 1000);
     try (Socket first = connect(part); Socket second = connect(part); Socket third = connect(part)) {
@@ -118,7 +118,7 @@
   /** Guards against clients that ask once and keep their connection, by which the others come to have none left. */
   @Test
   public void whereManyKeepTheirConnectionsAnAnswerEndsItsOwn() throws IOException {
-    HttpServer server = new HttpServer(new EventLoop(), 100, 40, new HttpServer.Times(60_000, 60_000, 60_000), this);
+    HttpServer server = new HttpServer(new EventLoop(), 100, 40, new HttpServer.Timeouts(60_000, 60_000, 60_000), this);
     at = server.listen(new HostPort("127.0.0.1", 0));
     List<Socket> kept = new ArrayList<>();
     try {
@@ -173,7 +173,7 @@
     int busy = 40;
     AtomicInteger dealtWith = new AtomicInteger();
     CountDownLatch taken = new CountDownLatch(1);
-    HttpServer server = new HttpServer(loop, 100, 100, HttpServer.Times.USUAL, new HttpServer.Handler() {
+    HttpServer server = new HttpServer(loop, 100, 100, HttpServer.Timeouts.USUAL, new HttpServer.Handler() {
       @Override
       public void handle(HttpServer.Request request, HttpServer.Exchange exchange) {
         if (request.head().target().equals("/alarm")) {
