Membership: one that died before all had heard of it is known dead in seconds among a thousand too

Cause, by a trace of each verdict: 33 of 399 instances are late by 10 s, and all of these held the dead one as never heard of (epoch 0); Membership.rumor took each word of it for that of another process and asked alone, so that the suspicion lasted its longest. Change: a word of a process never heard of is taken as what is known of it, as a good word already was; to call it dead still takes two failed probes of one's own. The test among 400 wants 10 s now, 18 before.

--- a/src/main/java/bitternpulley/membership/Member.java
+++ b/src/main/java/bitternpulley/membership/Member.java
@@ -37,6 +37,12 @@
     this.since = now;
   }
 
+  /** It runs, or ran, as this process. */
+  void heardOf(long process, int refutations) {
+    epoch = process;
+    incarnation = refutations;
+  }
+
   /** Whether it says more than anybody has to say. Guards against a peer that floods: what is beyond costs a look and no answer. */
   boolean floods(double now, double interval) {
     if (now >= countedFrom + interval) {
--- a/src/main/java/bitternpulley/membership/Membership.java
+++ b/src/main/java/bitternpulley/membership/Membership.java
@@ -157,9 +157,7 @@
       send(from.number, Kind.ACK, 0, from.number);
       return out;
     }
-    heardAt = now;
-    from.spokeAt = now;
-    from.heardAt = now;
+    heardAt = from.spokeAt = from.heardAt = now;
     if (new Rumor(from.number, message.epoch(), message.incarnation(), Standing.ALIVE, -1, null)
         .newerThan(from.epoch, from.incarnation)) {
       renewed(from, message.epoch(), message.incarnation(), null, "its own word");
@@ -289,14 +287,18 @@
       if (newer && believed(m, said, teller.number)) {
         renewed(m, said.epoch(), said.incarnation(), said.card(), "told by " + teller.number);
       }
-    } else if (m.here() && newer) {
+    } else if (m.here() && newer && m.epoch != 0) {
       // Nobody is accused of what one has not heard of: asked itself, it says how it stands.
       prober.check(m);
-    } else if (m.here() && said.epoch() == m.epoch && said.incarnation() == m.incarnation) {
+    } else if (m.here() && (newer || said.epoch() == m.epoch && said.incarnation() == m.incarnation)) {
+      if (newer) {
+        // Guards against one that died before it was heard of, on which each instance is left to its own word alone.
+        m.heardOf(said.epoch(), said.incarnation());
+        table.changed(m);
+      }
       m.saidToLeave |= said.standing() == Standing.LEFT;
       // Whoever has heard it since takes no other's word for it.
-      if (m.standing == Standing.SUSPECT || m.heardAt < now - terms.interval()
-          || said.standing() == Standing.LEFT) {
+      if (m.standing == Standing.SUSPECT || m.heardAt < now - terms.interval() || said.standing() == Standing.LEFT) {
         suspect(m, said.accuser(), said.accuser() < 0 ? "said to leave" : "told by " + said.accuser());
       }
       if (m.suspicion != null && said.standing() == Standing.DEAD) {
@@ -323,8 +325,7 @@
   private void renewed(Member m, long epoch, int incarnation, Card card, String evidence) {
     boolean first = m.epoch == 0;
     boolean another = epoch != m.epoch;
-    m.epoch = epoch;
-    m.incarnation = incarnation;
+    m.heardOf(epoch, incarnation);
     m.card = card != null ? card : another ? null : m.card;
     m.slot = another ? null : m.slot;
     m.missed = another ? 0 : m.missed;
--- a/src/test/java/bitternpulley/membership/MembershipTable.java
+++ b/src/test/java/bitternpulley/membership/MembershipTable.java
@@ -11,8 +11,12 @@
 
   private MembershipTable() {}
 
-  /** Members, seeds for detection, seeds and ms for false deaths, whether the plain form; all by default. */
+  /** Detection alone among so many members, with so many seeds; all by default. */
   public static void main(String[] args) {
+    if (args.length == 2) {
+      detection(Integer.parseInt(args[0]), Integer.parseInt(args[1]), false);
+      System.exit(0);
+    }
     int[][] sizes = {{10, 1000}, {100, 100}, {1000, 1}};
     for (int[] size : sizes) {
       for (boolean plain : new boolean[] {false, true}) {
--- a/src/test/java/bitternpulley/membership/MembershipTest.java
+++ b/src/test/java/bitternpulley/membership/MembershipTest.java
@@ -241,7 +241,7 @@
     w.run(30_000);
     w.kill(7);
     double took = w.until(60_000, "all know", () -> w.allHold(7, Standing.DEAD));
-    assertTrue(took <= 18_000, took + " ms");
+    assertTrue(took <= 10_000, took + " ms");
   }
 
   /** One in ten a minute goes, for 2 or for 15 s, and comes back as another process. */
