--- a/src/test/java/bitternpulley/process/Deployment.java
+++ b/src/test/java/bitternpulley/process/Deployment.java
@@ -22,6 +22,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
@@ -229,6 +230,18 @@
     }
   }
 
+  /** Has discovery take watches and say nothing on them until then. */
+  void keepDiscoverySilent(CountDownLatch until) {
+    firstWord = () -> {
+      try {
+        until.await();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+      return list(false, List.of(), "up");
+    };
+  }
+
   /** Tells a change of one server, split in two in the middle of the line. */
   void tell(StandIn server, String phase) throws IOException {
     tellOf(++revision, server, phase);
