--- a/src/main/java/bitternpulley/broker/Reducer.java
+++ b/src/main/java/bitternpulley/broker/Reducer.java
@@ -326,7 +326,7 @@
         return;
       }
       AttemptId id = new AttemptId(part, p.sent++);
-            if (held.isOver(p) || p.out != null || id.number() >= settings.limits().maxAttempts()
+      if (held.isOver(p) || p.out != null || id.number() >= settings.limits().maxAttempts()
           || !accounts.maySend(p.open.charge, id.number())) {
         // Guards against one attempt too many, whatever asked for it: it ends unsent.
         inner.add(new Event.Unsent(id, server));
