Shared calls, turns at cold servers that sum to the whole, places counted as on the wire

Shared calls. Change: what a turn of the core sends to one server goes as one call (SharedCalls, Effect.StartTogether), and a new call counts in the choice of a replica by its share of a part's work.

Seen: a query was turned away when it would pass `maxOpen`, counting parts that are long in; the wire's page turns queries away at so many open. Change: Held.count leaves out parts that are in, and the count before the query decides.

Cold servers. Seen: turns for one and a half times what is borne (TURN_MISSES), of two cores a server (SURE_CORES) where settings tell none: up to 1.35 times what is borne beyond 25 aggregators, and 1.8 times that on servers of one core. Change: turn k comes when the server is sure to have borne k parts since its start, and is the instance's whose number it is modulo the count, so that no window sees more turns than parts borne; cores are learned by a sequential test from answers of parts that waited together, one until two are sure. PolicyTest and FleetTest counted on two cores; they let the program see two first, and their bounds are as they were, but for the turns, which are fewer.

Refused connections. A server that refuses a connection beside one that is up runs: the parts go over the one that is up, and the server no longer counts as down and then as cold. SlotServersTest.

Rehearsal and links. With 3,500 sections a made-up query passed the bound of its body and the program never became ready: the longest query follows from maxOpen and the body's bound now, and a fault ends the rehearsal, not the start. Long ones are played before readiness only. Links are opened within 4 s, whatever their number (35 s for 3,500 before).

SlotConnection, RecentNames, ConcurrencyLimit, FirstTries and TenantShares are classes of their own; what is timely follows from a part's work.

--- a/src/main/java/bitternpulley/Aggregator.java
+++ b/src/main/java/bitternpulley/Aggregator.java
@@ -206,7 +206,7 @@
       whenListed(until, () -> fronts().forEach(HttpServer::letIn));
     }
     // Plays while discovery's word is awaited: what it takes of a start is time in which clients are not served.
-    Rehearsal plays = new Rehearsal(config.settings(), loop);
+    Rehearsal plays = new Rehearsal(config.settings(), MOST_BODY, loop);
     plays.play(config.wire().dear(), () -> whenListed(until, () -> {
       if (draining) {
         return; // told to end before it was ready
--- a/src/main/java/bitternpulley/broker/Broker.java
+++ b/src/main/java/bitternpulley/broker/Broker.java
@@ -99,6 +99,8 @@
     try {
       if (effect instanceof Effect.Start e) {
         e.request().dialect().start(e);
+      } else if (effect instanceof Effect.StartTogether e) {
+        e.starts().get(0).request().dialect().startTogether(e.starts());
       } else if (effect instanceof Effect.Abandon e) {
         e.request().dialect().abandon(e);
       } else if (effect instanceof Effect.TakeBack e) {
@@ -137,7 +139,9 @@
 
   /** Guards against attempts that never end and clients that never hear, since a wire failed on the way to them. */
   private void makeGood(Effect effect) {
-    if (effect instanceof Effect.Start e) {
+    if (effect instanceof Effect.StartTogether e) {
+      e.starts().forEach(this::makeGood);
+    } else if (effect instanceof Effect.Start e) {
       perform(new Effect.Abandon(e.id(), e.request(), e.server()));
       submit(new Event.Ended(e.id(), Router.Outcome.RESET, null));
     } else if (effect instanceof Effect.Abandon e) {
--- a/src/main/java/bitternpulley/broker/Dialect.java
+++ b/src/main/java/bitternpulley/broker/Dialect.java
@@ -1,10 +1,20 @@
 package bitternpulley.broker;
 
+import java.util.List;
+
 /** A wire, seen from the core: it carries out attempts and delivers answers. Calls never block. */
 public interface Dialect {
   /** Sends an attempt; its end comes back as {@link Event.Ended}. */
   void start(Effect.Start attempt);
 
+  /**
+   * Sends several attempts, all to one server, as one call where this wire has such: the server charges for each call. The end
+   * of each comes back by itself. A wire without shared calls sends each on its own.
+   */
+  default void startTogether(List<Effect.Start> attempts) {
+    attempts.forEach(this::start);
+  }
+
   /**
    * Gives an attempt up. Once the server has been told, or never will be asked, {@link Event.Abandoned} comes back,
    * unless the attempt has ended by itself before.
--- a/src/main/java/bitternpulley/broker/Effect.java
+++ b/src/main/java/bitternpulley/broker/Effect.java
@@ -5,6 +5,7 @@
 import bitternpulley.leases.LeaseMessage;
 import bitternpulley.membership.Message;
 import bitternpulley.routing.Router;
+import java.util.List;
 import java.util.Map;
 
 /** What the core asks the outside to do. */
@@ -20,6 +21,9 @@
     }
   }
 
+  /** Send attempts to one server as one call, where the wire has such; at least two, all of one dialect. */
+  record StartTogether(List<Start> starts) implements Effect {}
+
   /** Stop waiting for an attempt. */
   record Abandon(AttemptId id, Request request, String server) implements Effect {}
 
--- a/src/main/java/bitternpulley/broker/Held.java
+++ b/src/main/java/bitternpulley/broker/Held.java
@@ -125,11 +125,18 @@
     return parts.get(open.firstPart + place);
   }
 
-  /** Requests and their parts, as the site's limit counts them. */
+  /** Requests and those of their parts that are not in, as the site's limit counts them: a part that is answered is over. */
   int count() {
     return requests.size() + partsHeld;
   }
 
+  /** A part's value is in. */
+  void in(Part p, Payload value) {
+    if (p.open.values.put(p.slice, value) == null && !isOver(p)) {
+      partsHeld--;
+    }
+  }
+
   boolean isOver(Part p) {
     return !requests.containsKey(p.open.request.id());
   }
@@ -155,7 +162,7 @@
   Open forget(long id) {
     Open open = requests.remove(id);
     if (open != null) {
-      partsHeld -= open.parts();
+      partsHeld -= open.parts() - open.values.size();
       for (int i = 0; i < open.parts(); i++) {
         tidy(open.firstPart + i);
       }
--- a/src/main/java/bitternpulley/broker/Reducer.java
+++ b/src/main/java/bitternpulley/broker/Reducer.java
@@ -86,7 +86,7 @@
         failed(next);
       }
     }
-    return effects;
+    return SharedCalls.join(effects, settings.layout().bundle());
   }
 
   private void apply(Event event) {
@@ -178,8 +178,8 @@
   private void hold(Request r, Charge charge) {
     Router.Terms terms = charge == null ? r.terms() : r.terms().under(charge.terms());
     double timeLeft = charge == null ? r.timeLeft() : Math.min(r.timeLeft(), charge.terms().deadline());
-    Open open = held.hold(r, charge, timeLeft, now);
     OptionalDouble full = router.turnedAway(held.count());
+    Open open = held.hold(r, charge, timeLeft, now);
     if (full.isPresent()) {
       end(r.id(), new Effect.Answer.Refused(full.getAsDouble(), Effect.Answer.Ending.UNTRIED));
       return;
@@ -206,7 +206,7 @@
     }
     p.last = new Effect.Answer.Missing(outcome, out.server, value);
     if (outcome == Router.Outcome.OK) {
-      p.open.values.put(p.slice, value);
+      held.in(p, value);
     }
     held.tidy(id.part());
     accounts.attemptEnded(p.open.charge, outcome, now - out.sentAt, now, effects);
--- a/src/main/java/bitternpulley/config/SettingsReader.java
+++ b/src/main/java/bitternpulley/config/SettingsReader.java
@@ -73,7 +73,7 @@
   private static Settings.Layout layout(JsonNode d) {
     int cells = (int) figure(d, "cells", 1);
     return new Settings.Layout((int) figure(d, "shards", 1), Math.max(1, cells), (int) figure(d, "width", 1),
-        Math.max(1, (int) figure(d, "bundleMax", 1)));
+        Math.max(1, (int) figure(d, "bundleMax", 1)), figure(d, "call", 0));
   }
 
   private static Settings.Limits limits(JsonNode l) {
--- a/src/main/java/bitternpulley/health/ColdBudget.java
+++ b/src/main/java/bitternpulley/health/ColdBudget.java
@@ -4,34 +4,34 @@
 import bitternpulley.routing.Settings;
 
 /**
- * What one instance may give a server that has just started: in each of the rules' windows no more work than its share of
- * what the server is sure to bear. Where that share is less than a part, instances take turns by number, counted from the
- * server's start: nothing is agreed. Times in ms, work in ms of one core.
+ * What one instance may send a server that has just started. All instances together send no more work in any of the rules'
+ * windows than the server is sure to bear: each has an even share of that, and where a share is less than one part, the parts
+ * that the server bears are dealt out one by one to the instances in the order of their numbers, as turns. Nothing is agreed:
+ * the turns follow from the settings and from the time of the server's start, which all are told. Times in ms, work in ms of
+ * one core.
  */
 public final class ColdBudget {
-  /** Work a warm server is sure to do, in ms per ms: a little under two cores, since cores are not told. */
-  private static final double SURE_CORES = 1.8;
   /** Share of the budget for parts that can wait. */
   private static final double LOW = 0.7;
-  /** Instances let to a server for each that has a part for it just then: most have none. */
-  private static final double TURN_MISSES = 1.5;
   /** Looks a window at when the budget opens: it does so as windows pass, or as a turn comes. */
   private static final int LOOKS = 4;
 
   private final Settings settings;
   private final Router.Portion portion;
+  private final CoreEstimate cores;
   private final WindowCount sent;
   private double since = Double.NEGATIVE_INFINITY;
 
-  /** One whose instance has an even part. */
+  /** One whose instance has an even part, and that knows of one core. */
   public ColdBudget(Settings settings) {
-    this(settings, Router.Portion.EVEN);
+    this(settings, Router.Portion.EVEN, new CoreEstimate());
   }
 
-  /** One whose instance has such a part of what all may send together. */
-  public ColdBudget(Settings settings, Router.Portion portion) {
+  /** One whose instance has such a part of what all may send together to servers of so many cores. */
+  public ColdBudget(Settings settings, Router.Portion portion, CoreEstimate cores) {
     this.settings = settings;
     this.portion = portion;
+    this.cores = cores;
     sent = new WindowCount(settings.rules().tipWindow());
   }
 
@@ -66,11 +66,29 @@
     if (part <= 0) {
       return false;
     }
-    double mine = part * share * rules.tipMultiple() * warm * SURE_CORES * rules.tipWindow() / settings.instances();
-    long turns = Math.max(1, (long) Math.ceil(work / mine / TURN_MISSES));
-    long turn = (long) (Math.max(0, at - since) / rules.tipWindow());
+    double rate = share * rules.tipMultiple() * cores.sure();
+    double mine = part * rate * warm * rules.tipWindow() / settings.instances();
     // Turns go by the numbers configured. Guards against turns that fall together where some of the numbers are away.
-    return spent + work <= mine * (canWait ? LOW : 1) || part == 1 && spent == 0 && (settings.self() + turn) % turns == 0;
+    return spent + work <= mine * (canWait ? LOW : 1)
+        || part == 1 && spent == 0 && work > mine && hasTurn(at - since, rate / work);
+  }
+
+  /**
+   * Whether one of this instance's turns came within the last window. Turn k comes when the server is sure to have borne k parts
+   * since its start, and is that of the instance whose number is k modulo their count; so no window sees more turns come than
+   * the server bears parts in it.
+   */
+  private boolean hasTurn(double age, double partsPerMs) {
+    long latest = (long) Math.floor(borne(age, partsPerMs));
+    long mine = latest - Math.floorMod(latest - settings.self(), (long) settings.instances());
+    double before = age - settings.rules().tipWindow();
+    return mine >= 0 && (before < 0 || mine > borne(before, partsPerMs));
+  }
+
+  /** Parts that a server of this age is sure to have borne, at so many per ms when it is warm: the integral of its warmth. */
+  private double borne(double age, double partsPerMs) {
+    Settings.Rules rules = settings.rules();
+    return partsPerMs * (rules.coldFrom() * age + (1 - rules.coldFrom()) * age * age / (2 * rules.coldTime()));
   }
 
   /** When it may be sent a part next, should nothing else go there first: infinity where not by {@code until}. */
--- a/src/main/java/bitternpulley/platform/Frames.java
+++ b/src/main/java/bitternpulley/platform/Frames.java
@@ -7,6 +7,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.List;
 import java.util.regex.Pattern;
 
 /** What stands in the frames to and from slot servers: each encoded and decoded here, once. */
@@ -24,15 +25,27 @@
     return query.id() + "." + query.slices().get(attempt.slice()).shard();
   }
 
-  /** A call of one part. */
-  static ByteBuffer call(Effect.Start attempt, String id) {
+  /** What stands in a call for one part: its line, then the query's text. */
+  static byte[] callLine(Effect.Start attempt, String id) {
     PlatformQuery query = (PlatformQuery) attempt.request().payload();
     Request.Slice slice = query.slices().get(attempt.slice());
     byte[] text = query.filter().getBytes(StandardCharsets.UTF_8);
     String line = id + " " + slice.shard() + " d=" + Math.max(1, Math.round(attempt.timeout()))
         + (query.token() == null ? "" : ",k=" + query.token()) + " " + text.length + "\n";
     byte[] head = line.getBytes(StandardCharsets.US_ASCII);
-    return FrameCodec.encode('1', ByteBuffer.allocate(head.length + text.length).put(head).put(text).array());
+    return ByteBuffer.allocate(head.length + text.length).put(head).put(text).array();
+  }
+
+  /** Whether one frame holds these attempts: a query's text may be long, and stands there once for each part. */
+  static boolean fitOneCall(List<Effect.Start> attempts) {
+    return attempts.stream().mapToInt(a -> callLine(a, partId(a)).length).sum() < FrameCodec.MOST;
+  }
+
+  /** A call of one part or more. */
+  static ByteBuffer call(List<byte[]> lines) {
+    ByteBuffer rest = ByteBuffer.allocate(lines.stream().mapToInt(l -> l.length).sum());
+    lines.forEach(rest::put);
+    return FrameCodec.encode('1', rest.array());
   }
 
   /** The word that a part is given up. */
--- a/src/main/java/bitternpulley/platform/Preparation.java
+++ b/src/main/java/bitternpulley/platform/Preparation.java
@@ -17,8 +17,13 @@
  * Bounded by the list: a server stands here once, and leaves when its connection was asked for or it takes no new work.
  */
 public final class Preparation {
-  /** Ms between connections: a fleet of 200 servers takes two seconds, and no server meets a restarted fleet all at once. */
+  /** Ms between turns; each opens one connection, so that no server meets a restarted fleet all at once. */
   private static final double PACE = 10;
+  /**
+   * Ms within which all are opened, with more than one in a turn where servers are many: well below the time after which
+   * those opened first are closed as idle.
+   */
+  private static final double WITHIN = 4000;
   /** Ms over which chance spreads the beginning, so that aggregators told at the same time don't act in step. */
   private static final double SPREAD = 200;
 
@@ -26,6 +31,7 @@
   private final Random random;
   private final Consumer<String> open;
   private final Set<String> waiting = new LinkedHashSet<>();
+  private int inTurn = 1;
   private boolean begun;
   private boolean running;
 
@@ -54,6 +60,7 @@
     }
     Collections.shuffle(fresh, random);
     waiting.addAll(fresh);
+    inTurn = Math.max(inTurn, (int) Math.ceil(waiting.size() * PACE / WITHIN));
     run();
   }
 
@@ -67,11 +74,14 @@
   private void next() {
     if (waiting.isEmpty()) {
       running = false;
+      inTurn = 1;
       return;
     }
-    String server = waiting.iterator().next();
-    waiting.remove(server);
-    open.accept(server);
+    for (int i = 0; i < inTurn && !waiting.isEmpty(); i++) {
+      String server = waiting.iterator().next();
+      waiting.remove(server);
+      open.accept(server);
+    }
     loop.after(PACE, this::next);
   }
 }
--- a/src/main/java/bitternpulley/platform/Rehearsal.java
+++ b/src/main/java/bitternpulley/platform/Rehearsal.java
@@ -14,6 +14,7 @@
 import bitternpulley.routing.Router;
 import bitternpulley.routing.Router.Outcome;
 import bitternpulley.routing.Settings;
+import java.lang.System.Logger.Level;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -38,13 +39,18 @@
   /** The same beside what is served, one at a time with so many ms between: such an aggregator is idle most of the time. */
   private static final int QUERIES_BESIDE = 200;
   private static final double PAUSE_BESIDE = 20;
-  /** Each so many-th query asks for a part of every section. */
+  /** Each so many-th query is as long as clients can send one. */
   private static final int WIDE = 10;
   /** Queries played before others on the loop get their turn. */
   private static final int AT_ONCE = 5;
   /** Ms of the made-up clock between queries. */
   private static final double STEP = 20;
   private static final int MOST_PARTS = 8;
+  /** The settings give room for three of the longest queries, each counted with its parts. */
+  private static final int LONGEST_HELD = 3;
+  /** Bytes that one part takes in a body, at the most, and that the rest of it takes. */
+  private static final int PART_BYTES = 64;
+  private static final int REST_BYTES = 64;
   /** Each so many-th attempt fails at once, is refused, or gets no answer. */
   private static final int FAILS = 13;
   private static final int FULL = 19;
@@ -52,19 +58,26 @@
 
   private record Alarm(double at, Runnable task) {}
 
+  private static final System.Logger LOG = System.getLogger(Rehearsal.class.getName());
+
   private final Settings settings;
+  private final int mostBody;
   private final EventLoop loop;
   private final Broker broker;
   private final QueryFront front;
   private final PriorityQueue<Alarm> alarms = new PriorityQueue<>(Comparator.comparingDouble(Alarm::at));
   private final List<Effect.Start> out = new ArrayList<>();
   private double time = 1;
+  /** Whether what is played takes time from clients that are served: long queries are left out then. */
+  private boolean beside;
   private int played;
   private int attempts;
   private int answered;
 
-  public Rehearsal(Settings settings, EventLoop loop) {
+  /** Made-up queries under these settings, with bodies of so many bytes at the most. */
+  public Rehearsal(Settings settings, int mostBody, EventLoop loop) {
     this.settings = settings;
+    this.mostBody = mostBody;
     this.loop = loop;
     broker = new Broker(new Reducer(settings, 1, time), () -> time,
         (ms, task) -> alarms.add(new Alarm(time + ms, task)));
@@ -81,10 +94,11 @@
   }
 
   private void playSome(int most, long end, Runnable done) {
-    for (int i = 0; i < AT_ONCE; i++) {
-      playOne();
+    boolean plays = true;
+    for (int i = 0; i < AT_ONCE && plays; i++) {
+      plays = playedOne();
     }
-    if (played < most && System.nanoTime() < end) {
+    if (plays && played < most && System.nanoTime() < end) {
       // Guards against a watch that is not heard until all is played: what is executed in a turn belongs to that turn.
       loop.after(0, () -> playSome(most, end, done));
     } else {
@@ -94,8 +108,8 @@
 
   /** Plays on in small turns while the program serves, until its code is compiled. */
   public void goOn() {
-    if (played < QUERIES_BESIDE) {
-      playOne();
+    beside = true;
+    if (played < QUERIES_BESIDE && playedOne()) {
       loop.after(PAUSE_BESIDE, this::goOn);
     }
   }
@@ -109,9 +123,20 @@
     return played;
   }
 
+  /** Guards against an aggregator that never becomes ready, or a turn that ends early, by a fault of what is made up. */
+  private boolean playedOne() {
+    try {
+      playOne();
+      return true;
+    } catch (RuntimeException e) {
+      LOG.log(Level.WARNING, "the rehearsal ends early, at query " + played, e);
+      return false;
+    }
+  }
+
   /** One query, and the ends of the attempts that it set off. */
   void playOne() {
-    HttpParser parser = new HttpParser(false, Short.MAX_VALUE, new Sink());
+    HttpParser parser = new HttpParser(false, mostBody, new Sink());
     parser.read(ByteBuffer.wrap(query(played++).getBytes(StandardCharsets.US_ASCII)));
     time += STEP;
     while (!alarms.isEmpty() && alarms.peek().at() <= time) {
@@ -125,7 +150,7 @@
   private String query(int n) {
     Settings.QueryClass kind = settings.classes().get(n % settings.classes().size());
     int shards = settings.layout().shards();
-    int parts = n % WIDE == WIDE - 1 ? shards : Math.min(1 + n % MOST_PARTS, shards);
+    int parts = n % WIDE == WIDE - 1 && !beside ? widest() : Math.min(1 + n % MOST_PARTS, shards);
     String slices = IntStream.range(0, parts).mapToObj(i -> "{\"slice\":" + (n + i) % shards + ",\"mass\":" + 1.0 / parts
         + "}").collect(Collectors.joining(","));
     String body = "{\"slices\":[" + slices + "],\"filter\":\"c41e77d0\"}";
@@ -134,10 +159,17 @@
         + body.length() + "\r\n\r\n" + body;
   }
 
+  /** Parts of the longest query that clients can send: each section once, held three times, in a body that is taken. */
+  int widest() {
+    long held = settings.limits().maxOpen() / LONGEST_HELD - 1;
+    long fits = (mostBody - REST_BYTES) / PART_BYTES;
+    return (int) Math.max(1, Math.min(settings.layout().shards(), Math.min(held, fits)));
+  }
+
   private void end(Effect.Start attempt) {
     attempts++;
     String id = Frames.partId(attempt);
-    Frames.call(attempt, id);
+    Frames.call(List.of(Frames.callLine(attempt, id)));
     if (attempts % SILENT == 0) {
       return;
     }
--- a/src/main/java/bitternpulley/policy/Policy.java
+++ b/src/main/java/bitternpulley/policy/Policy.java
@@ -2,7 +2,10 @@
 // Decisions and tuned values are here, but for what lies in health; docs/design.md tells their origin.
 package bitternpulley.policy;
 
+import bitternpulley.health.ConcurrencyLimit;
+import bitternpulley.health.FirstTries;
 import bitternpulley.health.Stall;
+import bitternpulley.health.TenantShares;
 import bitternpulley.health.Way;
 import bitternpulley.health.WindowCount;
 import bitternpulley.health.WorkEstimate;
@@ -51,10 +54,6 @@
   /** Ms after which a part that found no server is tried again. */
   private static final double HOLD = 50;
 
-  /** Ms by which the times of a class's first tries may differ, and the majority that makes them known. */
-  private static final double SAME_TRY = 12;
-  private static final int SURE_VOTES = 4;
-
   // --- Further attempts --------------------------------------------------------------------------
   /** An attempt is late after so many times its replica's expected time; a suspect's is late sooner. */
   private static final double LATE_FACTOR = 4;
@@ -72,14 +71,6 @@
   private static final double COPY_BUDGET = 0.7;
 
   // --- Overload ----------------------------------------------------------------------------------
-  /** Parts out per known server that a new instance allows itself, and the least window. */
-  private static final double WINDOW_START = 2;
-  private static final double WINDOW_LEAST = 4;
-  /** A part is timely below this share of its class's aim: the rest is for holding and second steps. */
-  private static final double TIMELY_SHARE = 0.3;
-  /** Parts the window gains by a timely part, and the share that it loses by a late one. */
-  private static final double WINDOW_GAIN = 0.25;
-  private static final double WINDOW_LOSS = 0.02;
   /** Usual latencies above which a server's own tells of itself, not of the load. */
   private static final double SLOW_ALONE = 3;
   private static final double SLOW_STILL = 1.5;
@@ -87,9 +78,6 @@
   private static final double TAIL = 1.5;
   /** Average latencies that a refused client is advised to stay away. */
   private static final double ADVICE = 2;
-  /** Ms over which a tenant's share of the parts asked for is taken; how far chance may pass it. */
-  private static final double SHARE_WINDOW = 5000;
-  private static final double SHARE_SLACK = 1.25;
   /** Share of the places for open queries and parts beyond which held queries are refused. */
   private static final double OPEN_SHARE = 0.8;
 
@@ -117,6 +105,8 @@
   /** Weight of one outcome in a smoothed failure rate, and the most that counts of any. */
   private static final double FAILURE_SMOOTHING = 0.15;
   private static final double FAILURE_MOST = 0.8;
+  /** Ticks that a part's work must take for the gap between two answers to tell of cores. */
+  private static final double CORES_TOLD_BY = 4;
   /** Ms in which what sets an unheard server's latency apart from its zone's halves. */
   private static final double FORGET_HALF = 4000;
 
@@ -140,15 +130,13 @@
   private final List<ArrivalRecord[]> records = new ArrayList<>();
   private final WindowCount taken;
   private final WindowCount extras;
-  private final WindowCount asked = new WindowCount(SHARE_WINDOW);
-  private final List<WindowCount> tenantParts = new ArrayList<>();
-  private final double[] usualTry;
-  private final int[] usualVotes;
+  private final TenantShares tenants;
+  private final List<FirstTries> firstTries = new ArrayList<>();
   private final List<Way> ways = new ArrayList<>();
   private final double firstLatency;
   /** The yardstick for what is late: the quickest zone's latency, which no slow way or zone can stretch. */
   private double usual;
-  private double window;
+  private final ConcurrencyLimit limit = new ConcurrencyLimit();
   private final WorkEstimate estimate = new WorkEstimate();
   private final Stall stall = new Stall();
   /** Parts out that are not late: what a silent server sits on says nothing of the others' load. */
@@ -170,9 +158,8 @@
         new ArrivalRecord(RECORD_STEPS, RECORD_AGE), new ArrivalRecord(RECORD_STEPS, RECORD_AGE)}));
     firstLatency = FIRST_LATENCY * settings.classes().stream().mapToDouble(c -> c.aim()).min().orElse(1);
     usual = firstLatency;
-    settings.tenants().forEach(t -> tenantParts.add(new WindowCount(SHARE_WINDOW)));
-    usualTry = new double[settings.classes().size()];
-    usualVotes = new int[settings.classes().size()];
+    settings.classes().forEach(c -> firstTries.add(new FirstTries()));
+    tenants = new TenantShares(settings.tenants());
     taken = new WindowCount(rules.extraWindow() - settings.tick());
     extras = new WindowCount(rules.extraWindow() + settings.tick());
     if (settings.listOnRequest()) {
@@ -195,7 +182,7 @@
     watchGap = kind == ListKind.REMEMBERED ? watchGap : WATCH_GAP;
     entries.forEach(this::note);
     if (kind == ListKind.REMEMBERED) {
-      window = Math.max(WINDOW_LEAST, WINDOW_START * fleet.servers().size());
+      limit.startFor(fleet.servers().size());
     }
     if (kind != ListKind.CHANGES) {
       Set<String> named = entries.stream().map(Member::server).collect(Collectors.toSet());
@@ -241,21 +228,18 @@
 
   @Override
   public OptionalDouble turnedAway(int held) {
-    return held <= share * settings.limits().maxOpen() ? OptionalDouble.empty() : OptionalDouble.of(advice());
+    return held < share * settings.limits().maxOpen() ? OptionalDouble.empty() : OptionalDouble.of(advice());
   }
 
   @Override
   public void query(Query query, double now, Actions out) {
     at(now, out);
     taken.add(now, 1);
-    asked.add(now, query.parts());
-    if (query.tenant() < tenantParts.size()) {
-      tenantParts.get(query.tenant()).add(now, query.parts());
-    }
+    tenants.asked(query.tenant(), query.parts(), now);
     int c = query.queryClass();
     Settings.QueryClass kind = query.terms().of(settings.classes().get(c));
     double aim = Math.min(kind.aim() + kind.aimStretch() * query.work(), kind.deadline());
-    if (!query.terms().ownTime() && laterTry(c, query)) {
+    if (!query.terms().ownTime() && firstTries.get(c).isLater(query.timeLeft())) {
       // The client's clock has run since its first try, and this one has what is left of the deadline.
       aim -= kind.deadline() - query.timeLeft();
     }
@@ -282,20 +266,6 @@
     dirty.add(q);
   }
 
-  /** A try is a later one if its time is not that of the class's first tries, which most have in common. */
-  private boolean laterTry(int c, Query query) {
-    if (Math.abs(query.timeLeft() - usualTry[c]) <= SAME_TRY) {
-      usualVotes[c] = Math.min(usualVotes[c] + 1, 4 * SURE_VOTES);
-      return false;
-    }
-    boolean sure = usualVotes[c] >= SURE_VOTES;
-    if (--usualVotes[c] <= 0) {
-      usualTry[c] = query.timeLeft();
-      usualVotes[c] = 1;
-    }
-    return sure;
-  }
-
   /** Refuses what cannot be answered by its aim: no work is spent, and the client knows at once. */
   private boolean refused(QueryState q) {
     double room = q.aimAt - now;
@@ -319,7 +289,7 @@
   /** Starts held queries while the window has room, most worth per work first, then oldest aim. */
   private void admitHeld() {
     // Guards against a node busy with nothing but the queries it holds: each is looked at now and then.
-    if (partsOut >= window && held.stream().noneMatch(q -> now >= q.checkAt)) {
+    if (limit.isReached(partsOut) && held.stream().noneMatch(q -> now >= q.checkAt)) {
       return;
     }
     List<QueryState> order = new ArrayList<>(held);
@@ -327,11 +297,11 @@
         Comparator.<QueryState>comparingDouble(q -> -worthPerWork(q)).thenComparingDouble(q -> q.aimAt));
     int load = partsOut;
     for (QueryState q : order) {
-      if (load >= window && now < q.checkAt) {
+      if (limit.isReached(load) && now < q.checkAt) {
         continue;
       }
       q.checkAt = now + HOLD;
-      if (!refused(q) && load < window) {
+      if (!refused(q) && !limit.isReached(load)) {
         held.remove(q);
         q.awaitsParts = false;
         startStep(q);
@@ -341,36 +311,30 @@
         wakeAt(q, Math.min(q.aimAt, Math.max(now + HOLD, q.aimAt - usual)));
       }
     }
-    int open = queries.size() + parts.size();
+    int open = queries.values().stream().mapToInt(q -> 1 + q.missing.size()).sum();
     for (int i = order.size() - 1; i >= 0 && open > OPEN_SHARE * share * settings.limits().maxOpen(); i--) {
       if (held.contains(order.get(i))) {
-        open -= order.get(i).parts.size() + 1;
+        open -= order.get(i).missing.size() + 1;
         giveUp(order.get(i));
       }
     }
   }
 
   private double worthPerWork(QueryState q) {
-    double worth = q.kind.worth() * (overShare(q.query.tenant()) ? settings.overShareWorth() : 1);
+    double worth = q.kind.worth() * (tenants.isOver(q.query.tenant(), now) ? settings.overShareWorth() : 1);
     return settings.worthByWork() ? worth : worth / q.parts.size();
   }
 
-  /** Whether a tenant asks for more than its share of what this instance, and it alone, is asked for. */
-  private boolean overShare(int tenant) {
-    return tenant < tenantParts.size() && tenantParts.get(tenant).sum(now)
-        > SHARE_SLACK * settings.tenants().get(tenant).share() * asked.sum(now);
+  private boolean isTimely(Attempt a, double took) {
+    return took <= limit.timely(a.part.query.kind.aim(), work(a.part));
   }
 
-  /** Guards against queues that make all answers late, whatever fills them: fewer parts out then. */
-  private void steerWindow(Attempt a, double took) {
-    if (took > TIMELY_SHARE * a.part.query.kind.aim()) {
+  private void steerLimit(Attempt a, double took) {
+    if (isTimely(a, took)) {
+      limit.onTimely(partsOut);
+    } else if (a.server.latency <= SLOW_ALONE * usual && stall.counted(a.sent) <= a.sent) {
       // A server that is slower than the rest by far, or a stall, is not what fewer parts out would help.
-      if (a.server.latency > SLOW_ALONE * usual || stall.counted(a.sent) > a.sent) {
-        return;
-      }
-      window = Math.max(WINDOW_LEAST, window * (1 - WINDOW_LOSS));
-    } else if (2 * partsOut >= window) {
-      window += WINDOW_GAIN;
+      limit.onLate();
     }
   }
 
@@ -639,6 +603,7 @@
     s.owed = false;
     a.alone = s.out.isEmpty() && s.cold.warmth(now) >= 1 && !s.slow;
     s.out.add(a);
+    s.joined(now);
     partsOut++;
     s.cold.sent(now, work(p));
     double end = p.query.kind.lateWorth() > 0 ? p.query.endBy : p.query.aimAt;
@@ -663,7 +628,10 @@
       int rank = p.tried(s) || suspect(s) && !trial ? 1 : 0;
       double far = s.zone == settings.zone() ? 0 : ZONE_BAND * settings.prices().crossZone();
       double arrives = way(s.zone).arrives();
-      double cost = trial ? 0 : expected(s) * (s.out.size() + 1) * (1 + far) / (arrives * arrives);
+      // By call where calls are shared: one that is forming takes a part in, and costs no more by itself.
+      Settings.Layout layout = settings.layout();
+      double call = s.forms(now, layout.bundle()) ? 0 : layout.callWork() / Math.max(1, work(p));
+      double cost = trial ? 0 : expected(s) * (s.out.size() + 1 + call) * (1 + far) / (arrives * arrives);
       if (best == null || rank < bestRank || rank == bestRank
           && (cost < bestCost || cost == bestCost && s.tie < best.tie)) {
         best = s;
@@ -817,15 +785,16 @@
     if (a.fresh || noWay && !suspect(s)) {
       way(s.zone).fresh(noWay);
     }
-    if (e.outcome() == Outcome.OK || took > TIMELY_SHARE * a.part.query.kind.aim()) {
-      steerWindow(a, took);
+    if (e.outcome() == Outcome.OK || !isTimely(a, took)) {
+      steerLimit(a, took);
     }
     switch (e.outcome()) {
       case OK -> {
         stall.heard(now, usual, fleet.servers());
-        s.room.answered(a.sent, took <= TIMELY_SHARE * a.part.query.kind.aim(), s.out.size(), now);
+        s.room.answered(a.sent, isTimely(a, took), s.out.size(), now);
         smooth(s, took);
         estimate.answered(took, a.alone);
+        learnCores(a);
         if (!a.late) {
           way(s.zone).inTime();
         }
@@ -868,6 +837,15 @@
     }
   }
 
+  private void learnCores(Attempt a) {
+    Server s = a.server;
+    double work = work(a.part);
+    boolean tells = work >= CORES_TOLD_BY * settings.tick() && s.cold.warmth(a.sent) >= 1 && !s.slow;
+    if (a.sent < s.lastHeard && tells) {
+      fleet.cores.answered(now - s.lastHeard, work);
+    }
+  }
+
   private void smooth(Server s, double took) {
     Way way = way(s.zone);
     s.latency = s.latency == 0 ? way.latency() : s.latency;
--- a/src/main/java/bitternpulley/policy/State.java
+++ b/src/main/java/bitternpulley/policy/State.java
@@ -1,6 +1,7 @@
 package bitternpulley.policy;
 
 import bitternpulley.health.ColdBudget;
+import bitternpulley.health.CoreEstimate;
 import bitternpulley.health.ServerRoom;
 import bitternpulley.health.Stall;
 import bitternpulley.routing.Router;
@@ -36,6 +37,8 @@
     double lastHeard = Double.NEGATIVE_INFINITY;
     double trialAt;
     double trialGap;
+    private double callAt = Double.NEGATIVE_INFINITY;
+    private int callParts;
     ColdBudget cold;
     final ServerRoom room = new ServerRoom();
     final Set<Attempt> out = new LinkedHashSet<>();
@@ -45,6 +48,17 @@
       return out.isEmpty() ? Double.POSITIVE_INFINITY : out.iterator().next().sent;
     }
 
+    /** Whether a call to it is forming, in this very turn, that takes another part in. */
+    boolean forms(double now, int most) {
+      return callAt == now && callParts % most != 0;
+    }
+
+    /** A part goes to it, in the call that is forming or in a new one. */
+    void joined(double now) {
+      callParts = callAt == now ? callParts + 1 : 1;
+      callAt = now;
+    }
+
     /** Drops what was learned of an earlier process. */
     void forget() {
       latency = 0;
@@ -64,6 +78,7 @@
     private final Map<String, Server> byName = new LinkedHashMap<>();
     private final List<List<Server>> cells = new ArrayList<>();
     Router.Portion portion = Router.Portion.EVEN;
+    final CoreEstimate cores = new CoreEstimate();
 
     Fleet(Settings settings) {
       this.settings = settings;
@@ -83,7 +98,7 @@
         Server s = new Server();
         s.id = id;
         s.zone = m.zone();
-        s.cold = new ColdBudget(settings, now -> portion.at(now));
+        s.cold = new ColdBudget(settings, now -> portion.at(now), cores);
         cells.get(Math.floorMod(m.cell(), cells.size())).add(s);
         return s;
       });
--- a/src/main/java/bitternpulley/routing/Router.java
+++ b/src/main/java/bitternpulley/routing/Router.java
@@ -159,8 +159,8 @@
   default void portion(Portion portion) {}
 
   /**
-   * Whether a query is turned away unseen since so many queries and parts, its own included, would be held: the
-   * pause its client is advised, or empty where there is room.
+   * Whether a query is turned away unseen, since so many queries and parts that are not in are held already: the pause its
+   * client is advised, or empty where there is room. As in the simulator, what is held goes beyond the limit by one query at most.
    */
   default OptionalDouble turnedAway(int held) {
     return OptionalDouble.empty();
--- a/src/main/java/bitternpulley/routing/Settings.java
+++ b/src/main/java/bitternpulley/routing/Settings.java
@@ -50,8 +50,16 @@
   /** A tenant and the fraction of the service allotted to it. */
   public record Tenant(String name, double share, double perSecond) {}
 
-  /** Where shards lie: shard s is held by cells s to s + width - 1, counted around the ring. */
-  public record Layout(int shards, int cells, int width, int bundle) {}
+  /**
+   * Where shards lie: shard s is held by cells s to s + width - 1, counted around the ring. Up to {@code bundle} parts share a
+   * call, which costs its server {@code callWork} ms beside the work of the parts.
+   */
+  public record Layout(int shards, int cells, int width, int bundle, double callWork) {
+    /** A layout in which calls cost nothing by themselves. */
+    public Layout(int shards, int cells, int width, int bundle) {
+      this(shards, cells, width, bundle, 0);
+    }
+  }
 
   /** What the site permits. */
   public record Limits(
--- a/src/test/java/bitternpulley/platform/PreparationTest.java
+++ b/src/test/java/bitternpulley/platform/PreparationTest.java
@@ -70,4 +70,19 @@
     loop.execute(() -> preparation.told(list(Stream.of(entry(3, Router.ServerState.LIVE)))));
     assertEquals(next(), "s3", "what joins later is reached as well");
   }
+
+  /** Guards against connections that are closed as idle before the last of very many servers is reached. */
+  @Test
+  public void veryManyServersAreReachedWithinSeconds() throws InterruptedException {
+    loop.execute(() -> {
+      preparation.told(list(IntStream.range(0, 3500).mapToObj(i -> entry(i, Router.ServerState.LIVE))));
+      preparation.begin();
+    });
+    next();
+    long before = System.nanoTime();
+    for (int i = 1; i < 3500; i++) {
+      next();
+    }
+    assertTrue(System.nanoTime() - before <= 12_000_000_000L, "within the least idle time of 12 s");
+  }
 }
--- a/src/test/java/bitternpulley/platform/SlotServersTest.java
+++ b/src/test/java/bitternpulley/platform/SlotServersTest.java
@@ -23,6 +23,7 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -466,4 +467,93 @@
       assertEquals(((Event.Ended) events.get(1)).outcome(), Router.Outcome.OK);
     }
   }
+
+  private void startTogether(Integer... parts) {
+    loop.execute(() -> servers.startTogether(List.of(parts).stream()
+        .map(p -> new Effect.Start(new AttemptId(p, 0), request, p, "s", 2000)).toList()));
+  }
+
+  private static String calls(int... parts) {
+    return "1" + IntStream.of(parts).mapToObj(p -> call(p).substring(1)).collect(Collectors.joining());
+  }
+
+  /** Guards against a server that is charged for a call by each part. */
+  @Test
+  public void partsSentTogetherShareAFrameAndEndOneByOne() throws Exception {
+    startTogether(0, 2, 5);
+    startTogether(1, 3);
+    try (Socket first = server.accept()) {
+      assertEquals(frame(first), calls(0, 2, 5));
+      assertEquals(frame(first), calls(1, 3));
+      first.getOutputStream().write(answer(2, "00000000000000aa"));
+      first.getOutputStream().write(answer(3, "00000000000000aa"));
+      assertEquals(outcomes(2), List.of("2 OK", "3 OK"));
+      loop.execute(() -> servers.abandon(new Effect.Abandon(new AttemptId(5, 0), request, "s")));
+      assertEquals(frame(first), "2q.5", "one part of a call is given up by itself");
+      first.getOutputStream().write(answer(0, "00000000000000aa"));
+      await(4);
+      assertTrue(events.contains(new Event.Abandoned(new AttemptId(5, 0))));
+      assertTrue(events.stream().anyMatch(e -> e instanceof Event.Ended d && d.attempt().part() == 0));
+    }
+  }
+
+  @Test
+  public void aPartTakenBackBeforeItsCallHasGoneIsNotInItsFrame() throws Exception {
+    loop.execute(() -> {
+      servers.startTogether(IntStream.range(0, 3).mapToObj(
+          p -> new Effect.Start(new AttemptId(p, 0), request, p, "s", 2000)).toList());
+      servers.takeBack(new Effect.TakeBack(new AttemptId(1, 0), request));
+    });
+    try (Socket first = server.accept()) {
+      assertEquals(frame(first), calls(0, 2));
+      assertEquals(outcomes(1), List.of("1 MOOT"));
+    }
+  }
+
+  @Test
+  public void eachPartOfACallOnAConnectionThatEndsMayHaveRun() throws Exception {
+    startTogether(0, 1, 2);
+    try (Socket first = server.accept()) {
+      assertEquals(frame(first), calls(0, 1, 2));
+    }
+    assertEquals(outcomes(3), List.of("0 RESET", "1 RESET", "2 RESET"));
+  }
+
+  /** Guards against more parts on a connection than the settings allow, where a call holds more than that. */
+  @Test
+  public void aCallOfMorePartsThanAConnectionCarriesIsTakenApart() throws Exception {
+    servers = new SlotServers(loop, events::add, Clock.system(), new Configuration.Wire(2, 15_000, false), 5000, 10, 4);
+    loop.execute(() -> servers.address("s", new HostPort("127.0.0.1", server.getLocalPort())));
+    startTogether(0, 1, 2);
+    try (Socket first = server.accept(); Socket second = server.accept()) {
+      assertEquals(frame(first), call(0));
+      assertEquals(frame(first), call(1));
+      assertEquals(frame(second), call(2));
+    }
+  }
+
+  /** Guards against a server that holds no more connections, and counts as down and as restarted by that. */
+  @Test
+  public void whatWaitsForARefusedConnectionGoesOverOneThatIsUp() throws Exception {
+    for (int part = 0; part < 4; part++) {
+      start(part, 0);
+    }
+    try (Socket first = server.accept()) {
+      for (int part = 0; part < 4; part++) {
+        assertEquals(frame(first), call(part));
+      }
+      server.close();
+      start(4, 0);
+      assertEquals(frame(first), call(4));
+      start(5, 0);
+      assertEquals(frame(first), call(5));
+      first.getOutputStream().write(answer(4, "00000000000000aa"));
+      assertEquals(outcomes(1), List.of("4 OK"));
+    }
+    await(6);
+    start(6, 0);
+    await(7);
+    assertTrue(events.contains(new Event.Ended(new AttemptId(6, 0), Router.Outcome.UNREACHABLE, null)),
+        "with none up a refusal is one");
+  }
 }
--- a/src/test/java/bitternpulley/policy/Rig.java
+++ b/src/test/java/bitternpulley/policy/Rig.java
@@ -46,6 +46,21 @@
     return this;
   }
 
+  /** Has it seen that servers work on two parts of so many ms at once, at one that holds the last shard alone. */
+  Rig twoCores(double ms) {
+    for (int i = 0; i < 40; i++) {
+      query(500_000 + 2 * i, 3000, new int[] {3});
+      query(500_001 + 2 * i, 3000, new int[] {3});
+      to(now + ms);
+      end(10 * (500_000 + 2 * i), 0, Router.Outcome.OK);
+      end(10 * (500_001 + 2 * i), 0, Router.Outcome.OK);
+      to(now + ms);
+    }
+    sends.clear();
+    ends.clear();
+    return this;
+  }
+
   static Router.Member member(String id, int cell, Router.ServerState state, double started) {
     return new Router.Member(id, cell % 2, cell, state, started);
   }
