Leases: cold servers are used by turns also where an instance is away

Seen by counting: where leases are on and one of 530 instances is away, nobody sends a cold server anything until it is warm: 0 parts in 12 s where 124 to 619 could be done (ColdBudgetFleetTest, virtual time, three cases of six; the others have shares of a part and more). Cause: ColdBudget allowed turns only at an exactly even part, since turns used to fall together where numbers were away; a share of 1/530 is below any part. Change: turns by the numbers configured, for whoever has an even part or more; those of who is away pass unused, and no window sees more turns than parts are borne. After: all six cases use over a quarter of what the server does and stay under the rule's bound.

--- a/src/main/java/bitternpulley/health/ColdBudget.java
+++ b/src/main/java/bitternpulley/health/ColdBudget.java
@@ -68,9 +68,10 @@
     }
     double rate = share * rules.tipMultiple() * cores.sure();
     double mine = part * rate * warm * rules.tipWindow() / settings.instances();
-    // Turns go by the numbers configured. Guards against turns that fall together where some of the numbers are away.
+    // Turns go by the numbers configured: those of instances that are away pass unused. Who has an even part or more, as all
+    // have that may act, uses no more than that by its turns.
     return spent + work <= mine * (canWait ? LOW : 1)
-        || part == 1 && spent == 0 && work > mine && hasTurn(at - since, rate / work);
+        || part >= 1 && spent == 0 && work > mine && hasTurn(at - since, rate / work);
   }
 
   /**
--- a/src/test/java/bitternpulley/health/ColdBudgetFleetTest.java
+++ b/src/test/java/bitternpulley/health/ColdBudgetFleetTest.java
@@ -32,15 +32,21 @@
 
   /** Each instance has a part for the server with such a chance in each step, and waits with it until it may send it. */
   private void play(int instances, double work, double chance, long seed) {
+    play(instances, 0, work, chance, seed);
+  }
+
+  /** As above, where so many of the instances are away and the leases have divided the whole among the others. */
+  private void play(int instances, int away, double work, double chance, long seed) {
     Random random = new Random(seed);
+    Router.Portion portion = now -> (double) instances / (instances - away);
     List<ColdBudget> budgets = new ArrayList<>();
     boolean[] waits = new boolean[instances];
     for (int i = 0; i < instances; i++) {
-      budgets.add(new ColdBudget(settings(i, instances), Router.Portion.EVEN, new CoreEstimate()));
+      budgets.add(new ColdBudget(settings(i, instances), portion, new CoreEstimate()));
       budgets.get(i).startedAt(0);
     }
     for (double now = 0; now < UNTIL; now += STEP) {
-      for (int i = 0; i < instances; i++) {
+      for (int i = away; i < instances; i++) {
         waits[i] |= random.nextDouble() < chance;
         if (waits[i] && budgets.get(i).allows(work, false, 1, now)) {
           budgets.get(i).sent(now, work);
@@ -95,4 +101,17 @@
       assertTrue(sent.size() > USED * done, sent.size() + " parts were sent, and " + done + " could be done");
     }
   }
+
+  /** Guards against a cold server that nobody uses since one of very many instances is away, as on any ordinary day. */
+  @ParameterizedTest
+  @CsvSource({"10, 1, 40", "30, 3, 40", "120, 1, 8", "530, 8, 8", "530, 8, 40", "530, 90, 40"})
+  void whereSomeAreAwayTheOthersNeitherExceedWhatItBearsNorLeaveItIdle(int instances, int away, double work) {
+    play(instances, away, work, 1, 5);
+    assertBorne(work, away + " of " + instances + " away");
+    double done = 0;
+    for (double from = 0; from < UNTIL; from += WINDOW) {
+      done += bears(from, work) / MULTIPLE;
+    }
+    assertTrue(sent.size() > USED * done, sent.size() + " parts were sent, and " + done + " could be done");
+  }
 }
