Scale measurements: one aggregator before thousands of servers; hundreds of members

make measure-scale-servers starts one real aggregator before hollow slot servers on loopback and tells time to ready, memory, descriptors, links, processor time a part and latency from the intended send time (HdrHistogram), with lines fitted by Commons Math; make measure-scale-control runs members of the real state machine and codec in virtual time, at rest, in churn, with a zone lost and at 20 % loss. ControlTrafficTest holds the slope of bytes at rest and the bound of 3 KB a second at small sizes. The libraries are not in the jar that serves.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run measure-contracts bench-contracts measure-membership measure-membership-many measure-membership-case bench-membership table-membership
+.PHONY: build test lint run measure-contracts bench-contracts measure-membership measure-membership-many measure-membership-case bench-membership table-membership measure-scale-servers measure-scale-control
 
 build:
 	mvn -q -DskipTests package
@@ -29,6 +29,16 @@
 measure-membership-case: build
 	java -cp target/bitternpulley.jar bitternpulley.measure.MeasureMembershipCase $(CASE) $(SEED)
 
+# One real aggregator before hollow slot servers, 130 parts a query; needs 20,000 descriptors (docs/CAPACITY.md).
+measure-scale-servers:
+	mvn -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/classpath
+	java -cp target/classes:$$(cat target/classpath) bitternpulley.measure.MeasureScaleServers $(or $(PARTS),130) $(or $(SIZES),100 500 1000 2000 3500)
+
+# Members of the real state machine and codec in virtual time: bytes and processor time of each.
+measure-scale-control:
+	mvn -q -DskipTests test-compile dependency:build-classpath -Dmdep.outputFile=target/classpath
+	java -cp target/classes:target/test-classes:$$(cat target/classpath) bitternpulley.peers.ControlTraffic $(or $(SIZES),10 30 100 300 530)
+
 # Virtual time, some minutes: the table of docs/membership.md.
 table-membership:
 	mvn -q -DskipTests test-compile dependency:build-classpath -Dmdep.outputFile=target/classpath
--- a/src/main/java/bitternpulley/faults/Node.java
+++ b/src/main/java/bitternpulley/faults/Node.java
@@ -122,6 +122,11 @@
     return Files.readString(folder.resolve("log"));
   }
 
+  /** The id of its process, which must have been started. */
+  public long pid() {
+    return process.pid();
+  }
+
   public boolean alive() {
     return process != null && process.isAlive();
   }
--- a/src/test/java/bitternpulley/membership/World.java
+++ b/src/test/java/bitternpulley/membership/World.java
@@ -8,6 +8,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.stream.IntStream;
 
 /** Many instances in virtual time, with a network that loses, delays, repeats and cuts by seed, one way or both. */
@@ -69,6 +70,8 @@
   double mostDelay = 3;
   double repeated;
   long sent;
+  /** Is shown each message as it is sent. */
+  Consumer<Message> watcher = message -> { };
   private final Maker maker;
   private final Random random;
   private final List<Node> nodes = new ArrayList<>();
@@ -121,6 +124,7 @@
     for (Output o : outputs) {
       if (o instanceof Output.Send s) {
         sent++;
+        watcher.accept(s.message());
         deliver(by, s.to(), s.message());
         if (random.nextDouble() < repeated) {
           deliver(by, s.to(), s.message());
