Rename: membership's classes by the field's names

Ears ReachabilityTracker, Hearing ReachabilityReport, Voice MessageComposer, Card MemberMetadata, Rumor GossipUpdate, Spread DisseminationQueue, Slot MemberPayload, SelfDoubt LocalHealth, Terms MembershipSettings, Pages AntiEntropy. No behaviour changes.

--- a/src/jmh/java/bitternpulley/membership/MembershipBenchmark.java
+++ b/src/jmh/java/bitternpulley/membership/MembershipBenchmark.java
@@ -35,8 +35,8 @@
   @Setup
   public void members() {
     now = NOW;
-    membership = new Membership(0, new Card("n0", "z0", "r", "b"), (long) NOW, IntStream.range(0, members).boxed().toList(),
-        Terms.USUAL, 1, now);
+    membership = new Membership(0, new MemberMetadata("n0", "z0", "r", "b"), (long) NOW, IntStream.range(0, members).boxed().toList(),
+        MembershipSettings.USUAL, 1, now);
     for (int i = 1; i < members; i++) {
       membership.heard(message(Message.Kind.SYNC, i), now);
     }
@@ -44,7 +44,7 @@
 
   private Message message(Message.Kind kind, int sender) {
     return new Message(kind, sender, (long) NOW, 0, 1, 0, membership.view(), List.of(
-        new Rumor(sender, (long) NOW, 0, Standing.ALIVE, -1, null)));
+        new GossipUpdate(sender, (long) NOW, 0, Standing.ALIVE, -1, null)));
   }
 
   /** All others are heard now and then, so that none is suspect. */
--- a/src/main/java/bitternpulley/config/MembershipConfiguration.java
+++ b/src/main/java/bitternpulley/config/MembershipConfiguration.java
@@ -1,10 +1,10 @@
 package bitternpulley.config;
 
-import bitternpulley.membership.Terms;
+import bitternpulley.membership.MembershipSettings;
 import java.util.Optional;
 
 /**
  * What the operators' script says of the other aggregators: membership's terms, the region of this instance, what tells
  * deployments apart, and leases where they are on.
  */
-public record MembershipConfiguration(Terms terms, String region, String deployment, Optional<LeaseConfiguration> leases) {}
+public record MembershipConfiguration(MembershipSettings terms, String region, String deployment, Optional<LeaseConfiguration> leases) {}
--- a/src/main/java/bitternpulley/config/MembershipReader.java
+++ b/src/main/java/bitternpulley/config/MembershipReader.java
@@ -1,6 +1,6 @@
 package bitternpulley.config;
 
-import bitternpulley.membership.Terms;
+import bitternpulley.membership.MembershipSettings;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.List;
@@ -22,14 +22,14 @@
       }
       return Optional.empty();
     }
-    Terms usual = Terms.USUAL;
+    MembershipSettings usual = MembershipSettings.USUAL;
     double interval = in.path("interval_ms").asDouble(usual.interval());
     double timeout = in.path("timeout_ms").asDouble(usual.timeout());
     if (3 * timeout > interval) {
       // Guards against probes of which one is still under way when the next is due: each takes up to three timeouts.
       throw script.fault("/membership/timeout_ms", "is over a third of interval_ms, which is " + interval);
     }
-    return Optional.of(new MembershipConfiguration(new Terms(interval, timeout, in.path("relays").asInt(usual.relays()),
+    return Optional.of(new MembershipConfiguration(new MembershipSettings(interval, timeout, in.path("relays").asInt(usual.relays()),
         in.path("suspicion_intervals").asDouble(usual.suspicion()),
         1000 * in.path("alone_after_s").asDouble(usual.aloneAfter() / 1000)),
         in.path("region").asText(""), in.path("deployment").asText(""), leases));
--- a/src/main/java/bitternpulley/membership/Pages.java
+++ b/src/main/java/bitternpulley/membership/AntiEntropy.java
@@ -4,18 +4,18 @@
 import java.util.List;
 
 /** What is known of all members, a page in each message, the next one each time: repairs what rumors missed. */
-final class Pages {
+final class AntiEntropy {
   private final int self;
   private int from;
   private int slotFrom;
 
-  Pages(int self) {
+  AntiEntropy(int self) {
     this.self = self;
   }
 
   /** As many slots as fit, of members by turns, for one that needs to be told nothing of itself. */
-  List<Rumor> slots(Self me, Table table, int to) {
-    List<Rumor> page = new ArrayList<>();
+  List<GossipUpdate> slots(Self me, Table table, int to) {
+    List<GossipUpdate> page = new ArrayList<>();
     int left = Message.RUMOR_BYTES;
     if (me.slot() != null) {
       page.add(me.slotRumor());
@@ -23,7 +23,7 @@
     }
     List<Member> told = table.all().stream().filter(m -> m.slot != null && m.number != to).toList();
     for (int i = 0; i < told.size() && page.size() < Message.MOST_RUMORS; i++) {
-      Rumor next = told.get((slotFrom + i) % told.size()).slotRumor();
+      GossipUpdate next = told.get((slotFrom + i) % told.size()).slotRumor();
       if (next.bytes() > left) {
         slotFrom = (slotFrom + i) % told.size();
         break;
@@ -35,15 +35,15 @@
   }
 
   /** The next page of standings for one that needs to be told nothing of itself; {@code own} is this instance's word and comes first. */
-  List<Rumor> standings(Rumor own, Table table, int to) {
-    List<Rumor> page = new ArrayList<>();
+  List<GossipUpdate> standings(GossipUpdate own, Table table, int to) {
+    List<GossipUpdate> page = new ArrayList<>();
     page.add(own);
     int left = Message.RUMOR_BYTES - own.bytes();
     List<Member> all = new ArrayList<>(table.all());
     int next = from;
     for (int i = 0; i < all.size() && page.size() < Message.MOST_RUMORS; i++) {
       Member m = all.get((from + i) % all.size());
-      Rumor known = m.rumor(m.standing == Standing.ALIVE ? -1 : self);
+      GossipUpdate known = m.rumor(m.standing == Standing.ALIVE ? -1 : self);
       if (known.bytes() > left) {
         break;
       }
--- a/src/main/java/bitternpulley/membership/Spread.java
+++ b/src/main/java/bitternpulley/membership/DisseminationQueue.java
@@ -7,16 +7,16 @@
 import java.util.Map;
 
 /** What is to be told to others: each rumor some times the logarithm of the members' number, what is urgent and told least first. */
-final class Spread {
+final class DisseminationQueue {
   /** Times the logarithm (base 2) of the number of members that a rumor is told. */
   private static final double TIMES = 3;
 
   private static final class Entry {
-    final Rumor rumor;
+    final GossipUpdate rumor;
     final int rank;
     int told;
 
-    Entry(Rumor rumor, int rank) {
+    Entry(GossipUpdate rumor, int rank) {
       this.rumor = rumor;
       this.rank = rank;
     }
@@ -25,7 +25,7 @@
   private final Map<Integer, Entry> byMember = new HashMap<>();
 
   /** The latest word on a member takes the place of the one before. */
-  void add(Rumor rumor) {
+  void add(GossipUpdate rumor) {
     byMember.put(rumor.number(), new Entry(rumor, 0));
   }
 
@@ -33,13 +33,13 @@
    * The same for what can wait: it goes behind all else. Guards against a start of very many, of each of which all others have
    * much to say, by which the word on one that is suspect would be minutes late.
    */
-  void addLater(Rumor rumor) {
+  void addLater(GossipUpdate rumor) {
     byMember.put(rumor.number(), new Entry(rumor, 1));
   }
 
   /** As many rumors, up to {@code most}, as fit so many bytes of the next message; {@code first} (or null) is one of them. */
-  List<Rumor> next(int members, Rumor first, int bytes, int most) {
-    List<Rumor> next = new ArrayList<>();
+  List<GossipUpdate> next(int members, GossipUpdate first, int bytes, int most) {
+    List<GossipUpdate> next = new ArrayList<>();
     int left = bytes;
     if (first == null && byMember.isEmpty()) {
       return next;
--- a/src/main/java/bitternpulley/membership/Rumor.java
+++ b/src/main/java/bitternpulley/membership/GossipUpdate.java
@@ -4,9 +4,9 @@
  * What is said of a member: that it stands so, as the process begun at {@code epoch} and as often refuted as
  * {@code incarnation} says. {@code accuser} is who said it first, -1 for the member itself; {@code card} and {@code slot} may be null.
  */
-public record Rumor(int number, long epoch, int incarnation, Standing standing, int accuser, Card card, Slot slot) {
+public record GossipUpdate(int number, long epoch, int incarnation, Standing standing, int accuser, MemberMetadata card, MemberPayload slot) {
   /** One that tells of no slot. */
-  public Rumor(int number, long epoch, int incarnation, Standing standing, int accuser, Card card) {
+  public GossipUpdate(int number, long epoch, int incarnation, Standing standing, int accuser, MemberMetadata card) {
     this(number, epoch, incarnation, standing, accuser, card, null);
   }
 
--- a/src/main/java/bitternpulley/membership/Member.java
+++ b/src/main/java/bitternpulley/membership/Member.java
@@ -6,7 +6,7 @@
   private static final int MOST_SAID = 256;
 
   final int number;
-  Card card;
+  MemberMetadata card;
   long epoch;
   int incarnation;
   Standing standing = Standing.ALIVE;
@@ -14,7 +14,7 @@
   Suspicion suspicion;
   double since;
   /** What this process told last for other subsystems; null where nothing was heard of it. */
-  Slot slot;
+  MemberPayload slot;
   /** When a message of its own came last, and when anything showed that it runs. */
   double spokeAt = Double.NEGATIVE_INFINITY;
   double heardAt = Double.NEGATIVE_INFINITY;
@@ -57,7 +57,7 @@
   }
 
   /** Takes what is said that it told, if it is later; whether it was. */
-  boolean learns(Rumor said) {
+  boolean learns(GossipUpdate said) {
     boolean later = said.slot() != null && said.epoch() == epoch && said.slot().count() <= Self.MOST_COUNT
         && (slot == null || said.slot().count() > slot.count());
     slot = later ? said.slot() : slot;
@@ -65,11 +65,11 @@
   }
 
   /** What it told of itself, without what else is known of it. */
-  Rumor slotRumor() {
-    return new Rumor(number, epoch, incarnation, standing, -1, null, slot);
+  GossipUpdate slotRumor() {
+    return new GossipUpdate(number, epoch, incarnation, standing, -1, null, slot);
   }
 
-  Rumor rumor(int accuser) {
-    return new Rumor(number, epoch, incarnation, standing, accuser, card);
+  GossipUpdate rumor(int accuser) {
+    return new GossipUpdate(number, epoch, incarnation, standing, accuser, card);
   }
 }
--- a/src/main/java/bitternpulley/membership/Card.java
+++ b/src/main/java/bitternpulley/membership/MemberMetadata.java
@@ -1,11 +1,11 @@
 package bitternpulley.membership;
 
 /** What a member says of itself, told while it is new. Each text has at most {@link #MOST} characters, all of ASCII. */
-public record Card(String name, String zone, String region, String build) {
+public record MemberMetadata(String name, String zone, String region, String build) {
   static final int MOST = 24;
 
   /** Guards against texts that would not fit a datagram, whoever configured them. */
-  public Card {
+  public MemberMetadata {
     name = cut(name);
     zone = cut(zone);
     region = cut(region);
--- a/src/main/java/bitternpulley/membership/Slot.java
+++ b/src/main/java/bitternpulley/membership/MemberPayload.java
@@ -6,14 +6,14 @@
  * What a member tells of itself for other subsystems: at most {@link #MOST} bytes whose first says, to whoever reads them, of
  * which form they are. Of one process's slots that with the greater count is the later one.
  */
-public final class Slot {
+public final class MemberPayload {
   public static final int MOST = 64;
 
   private final int count;
   private final byte[] bytes;
 
   /** Throws IllegalArgumentException where it is too long. */
-  public Slot(int count, byte[] bytes) {
+  public MemberPayload(int count, byte[] bytes) {
     if (bytes.length > MOST) {
       throw new IllegalArgumentException("a slot of " + bytes.length + " bytes");
     }
@@ -36,7 +36,7 @@
 
   @Override
   public boolean equals(Object other) {
-    return other instanceof Slot s && s.count == count && Arrays.equals(s.bytes, bytes);
+    return other instanceof MemberPayload s && s.count == count && Arrays.equals(s.bytes, bytes);
   }
 
   @Override
--- a/src/main/java/bitternpulley/membership/Membership.java
+++ b/src/main/java/bitternpulley/membership/Membership.java
@@ -30,12 +30,12 @@
 
   private final int self;
   private final Self me;
-  private final Terms terms;
+  private final MembershipSettings terms;
   private final Random random;
   private final Table table;
-  private final Voice voice;
-  private final SelfDoubt doubt = new SelfDoubt();
-  private final Ears ears = new Ears();
+  private final MessageComposer voice;
+  private final LocalHealth doubt = new LocalHealth();
+  private final ReachabilityTracker ears = new ReachabilityTracker();
   private final Prober prober;
   private List<Output> out = new ArrayList<>();
   private final double startedAt;
@@ -56,13 +56,13 @@
    * @param epoch tells this start from those before: greater than any
    * @param configured the numbers of those it is to find, its own included or not
    */
-  public Membership(int self, Card card, long epoch, List<Integer> configured, Terms terms, long seed, double now) {
+  public Membership(int self, MemberMetadata card, long epoch, List<Integer> configured, MembershipSettings terms, long seed, double now) {
     this.self = self;
     this.me = new Self(self, card, epoch);
     this.terms = terms;
     this.random = new Random(seed);
     this.table = new Table(self);
-    this.voice = new Voice(self, me, table);
+    this.voice = new MessageComposer(self, me, table);
     configured.forEach(n -> table.configure(n, now));
     this.now = startedAt = tickedAt = heardAt = now;
     nextSync = now + SYNC_EVERY * terms.interval() * random.nextDouble();
@@ -97,7 +97,7 @@
   /** All that are known, this one included, by number. */
   public List<MemberView> members() {
     List<MemberView> all = new ArrayList<>();
-    all.add(new MemberView(self, me.epoch(), me.standing(), me.card(), now - startedAt, 0, false, Hearing.of(me.slot())));
+    all.add(new MemberView(self, me.epoch(), me.standing(), me.card(), now - startedAt, 0, false, ReachabilityReport.of(me.slot())));
     table.all().forEach(m -> all.add(MemberView.of(m, now)));
     all.sort(java.util.Comparator.comparingInt(MemberView::number));
     return all;
@@ -158,7 +158,7 @@
       return out;
     }
     heardAt = from.spokeAt = from.heardAt = now;
-    if (new Rumor(from.number, message.epoch(), message.incarnation(), Standing.ALIVE, -1, null)
+    if (new GossipUpdate(from.number, message.epoch(), message.incarnation(), Standing.ALIVE, -1, null)
         .newerThan(from.epoch, from.incarnation)) {
       renewed(from, message.epoch(), message.incarnation(), null, "its own word");
     }
@@ -178,7 +178,7 @@
     return out;
   }
 
-  /** What other subsystems have it tell, at most {@link Hearing#PAYLOAD} bytes; it reaches all others in some intervals. */
+  /** What other subsystems have it tell, at most {@link ReachabilityReport#PAYLOAD} bytes; it reaches all others in some intervals. */
   public void tell(byte[] payload) {
     tells(ears.tell(payload));
   }
@@ -251,7 +251,7 @@
 
   // --- What is said of members -------------------------------------------------------------------
 
-  private void rumor(Rumor said, Member teller) {
+  private void rumor(GossipUpdate said, Member teller) {
     if (!Self.plausible(said.epoch(), said.incarnation(), now)) {
       ignored++;
       return;
@@ -274,7 +274,7 @@
     if (m.learns(said)) {
       table.changed(m);
       voice.slot(m.slotRumor());
-      out.add(new Output.Told(m.number, m.epoch, Hearing.of(m.slot)));
+      out.add(new Output.Told(m.number, m.epoch, ReachabilityReport.of(m.slot)));
     }
     boolean newer = said.newerThan(m.epoch, m.incarnation);
     if (m == teller && said.standing() == Standing.LEFT) {
@@ -311,7 +311,7 @@
   }
 
   /** One's word is enough for a process that is known; a new one takes two, or its own. Guards against processes made up. */
-  private boolean believed(Member m, Rumor said, int teller) {
+  private boolean believed(Member m, GossipUpdate said, int teller) {
     boolean known = said.epoch() == m.epoch || m.epoch == 0;
     boolean second = said.epoch() == m.claimed && m.claimedBy != teller;
     if (!known && !second) {
@@ -322,7 +322,7 @@
     return known || second;
   }
 
-  private void renewed(Member m, long epoch, int incarnation, Card card, String evidence) {
+  private void renewed(Member m, long epoch, int incarnation, MemberMetadata card, String evidence) {
     boolean first = m.epoch == 0;
     boolean another = epoch != m.epoch;
     m.heardOf(epoch, incarnation);
--- a/src/main/java/bitternpulley/membership/Terms.java
+++ b/src/main/java/bitternpulley/membership/MembershipSettings.java
@@ -9,8 +9,8 @@
  * @param suspicion intervals for which a suspect may refute, by the decimal logarithm of the number of members
  * @param aloneAfter after which one that hears no majority calls its suspects dead all the same
  */
-public record Terms(
+public record MembershipSettings(
     double interval, double timeout, int relays, double suspicion, double aloneAfter) {
   /** Detects within some 5 s among ten, and bears zones cut off for 10 s. */
-  public static final Terms USUAL = new Terms(1000, 300, 3, 3, 20_000);
+  public static final MembershipSettings USUAL = new MembershipSettings(1000, 300, 3, 3, 20_000);
 }
--- a/src/main/java/bitternpulley/membership/Message.java
+++ b/src/main/java/bitternpulley/membership/Message.java
@@ -11,10 +11,10 @@
  */
 public record Message(
     Kind kind, int from, long epoch, int incarnation, int sequence, int target, int view, int told,
-    List<Rumor> rumors) {
+    List<GossipUpdate> rumors) {
   /** One whose sender knows of nothing that members tell. */
   public Message(
-      Kind kind, int from, long epoch, int incarnation, int sequence, int target, int view, List<Rumor> rumors) {
+      Kind kind, int from, long epoch, int incarnation, int sequence, int target, int view, List<GossipUpdate> rumors) {
     this(kind, from, epoch, incarnation, sequence, target, view, 0, rumors);
   }
 
--- a/src/main/java/bitternpulley/membership/Voice.java
+++ b/src/main/java/bitternpulley/membership/MessageComposer.java
@@ -5,44 +5,44 @@
 import java.util.List;
 
 /** What this instance says: each message bears what is news, what is known page by page, and what members tell of themselves. */
-final class Voice {
+final class MessageComposer {
   private final int self;
   private final Self me;
   private final Table table;
-  private final Spread spread = new Spread();
-  private final Spread slots = new Spread();
-  private final Pages pages;
+  private final DisseminationQueue spread = new DisseminationQueue();
+  private final DisseminationQueue slots = new DisseminationQueue();
+  private final AntiEntropy pages;
   private boolean slotsFirst;
 
-  Voice(int self, Self me, Table table) {
+  MessageComposer(int self, Self me, Table table) {
     this.self = self;
     this.me = me;
     this.table = table;
-    pages = new Pages(self);
+    pages = new AntiEntropy(self);
   }
 
   /** News of how a member stands. */
-  void add(Rumor rumor) {
+  void add(GossipUpdate rumor) {
     spread.add(rumor);
   }
 
   /** News that can wait: a member is here, of which nothing was heard before. */
-  void later(Rumor rumor) {
+  void later(GossipUpdate rumor) {
     spread.addLater(rumor);
   }
 
   /** News of what a member tells of itself. */
-  void slot(Rumor rumor) {
+  void slot(GossipUpdate rumor) {
     slots.add(rumor);
   }
 
   Message say(Kind kind, int to, int number, int target) {
     Member m = table.known(to);
     // Whoever is held for anything but alive is told so first of all, that it may refute.
-    Rumor first = m != null && m.standing != Standing.ALIVE ? m.rumor(self) : null;
+    GossipUpdate first = m != null && m.standing != Standing.ALIVE ? m.rumor(self) : null;
     // By turns half is for slots. Guards against a start of many, whose news alone fills every message for minutes.
     slotsFirst = !slotsFirst;
-    List<Rumor> rumors = new ArrayList<>();
+    List<GossipUpdate> rumors = new ArrayList<>();
     if (slotsFirst && first == null) {
       rumors.addAll(slots.next(table.here(), null, Message.RUMOR_BYTES / 2, Message.MOST_RUMORS));
       rumors.addAll(spread.next(table.here(), null, left(rumors), Message.MOST_RUMORS - rumors.size()));
@@ -53,8 +53,8 @@
     return message(kind, number, target, rumors);
   }
 
-  private static int left(List<Rumor> rumors) {
-    return Message.RUMOR_BYTES - rumors.stream().mapToInt(Rumor::bytes).sum();
+  private static int left(List<GossipUpdate> rumors) {
+    return Message.RUMOR_BYTES - rumors.stream().mapToInt(GossipUpdate::bytes).sum();
   }
 
   /** A page of what is known, the next one each time: of what members tell, or of how they stand. */
@@ -67,7 +67,7 @@
     return table.told(me.epoch(), me.slot() == null ? 0 : me.slot().count());
   }
 
-  private Message message(Kind kind, int number, int target, List<Rumor> rumors) {
+  private Message message(Kind kind, int number, int target, List<GossipUpdate> rumors) {
     return new Message(kind, self, me.epoch(), me.incarnation(), number, target, table.digest(me.epoch()), told(), rumors);
   }
 }
--- a/src/main/java/bitternpulley/membership/Output.java
+++ b/src/main/java/bitternpulley/membership/Output.java
@@ -6,7 +6,7 @@
   record Send(int to, Message message) implements Output {}
 
   /** A member stands otherwise from now on; {@code evidence} says why, for the log. */
-  record Changed(int number, Card card, Standing before, Standing now, String evidence) implements Output {
+  record Changed(int number, MemberMetadata card, Standing before, Standing now, String evidence) implements Output {
     @Override
     public String toString() {
       return "member " + number + (card == null ? "" : " (" + card.name() + ")") + " is "
@@ -16,7 +16,7 @@
   }
 
   /** A member tells this of itself from now on. */
-  record Told(int number, long epoch, Hearing hearing) implements Output {
+  record Told(int number, long epoch, ReachabilityReport hearing) implements Output {
     @Override
     public String toString() {
       return "member " + number + " tells " + hearing;
--- a/src/main/java/bitternpulley/membership/Prober.java
+++ b/src/main/java/bitternpulley/membership/Prober.java
@@ -34,9 +34,9 @@
   private record Helping(int origin, int sequence, int target, double until) {}
 
   private final int self;
-  private final Terms terms;
+  private final MembershipSettings terms;
   private final Table table;
-  private final SelfDoubt doubt;
+  private final LocalHealth doubt;
   private final Random random;
   private final Heard heard;
   private final ArrayDeque<Member> round = new ArrayDeque<>();
@@ -49,7 +49,7 @@
   private int probes;
   private double nextProbe;
 
-  Prober(int self, Terms terms, Table table, SelfDoubt doubt, Random random, Heard heard, double now) {
+  Prober(int self, MembershipSettings terms, Table table, LocalHealth doubt, Random random, Heard heard, double now) {
     this.self = self;
     this.terms = terms;
     this.table = table;
--- a/src/main/java/bitternpulley/membership/Hearing.java
+++ b/src/main/java/bitternpulley/membership/ReachabilityReport.java
@@ -10,11 +10,11 @@
  * Whom a member reaches only by others, as it tells in its slot, before what other subsystems have it tell: a form, how many,
  * then two bytes for each, of which the first bit says whether it hears that other speak.
  */
-public final class Hearing {
+public final class ReachabilityReport {
   /** Others that are told of; with more the cut is no matter of single ways any more. */
   static final int MOST = 8;
   /** Bytes that are left for other subsystems. */
-  public static final int PAYLOAD = Slot.MOST - 2 - 2 * MOST;
+  public static final int PAYLOAD = MemberPayload.MOST - 2 - 2 * MOST;
   private static final byte FORM = 1;
   private static final int SPEAKS = 0x8000;
 
@@ -22,24 +22,24 @@
   private final Map<Integer, Boolean> missed;
   private final byte[] payload;
 
-  Hearing(Map<Integer, Boolean> missed, byte[] payload) {
+  ReachabilityReport(Map<Integer, Boolean> missed, byte[] payload) {
     this.missed = new TreeMap<>(missed);
     this.payload = payload.clone();
   }
 
   /** What a slot tells; nothing where it has another form or none. */
-  static Hearing of(Slot slot) {
+  static ReachabilityReport of(MemberPayload slot) {
     byte[] bytes = slot == null ? new byte[0] : slot.bytes();
     Map<Integer, Boolean> missed = new TreeMap<>();
     int end = bytes.length < 2 || bytes[0] != FORM ? bytes.length + 1 : 2 + 2 * (bytes[1] & 0xff);
     if (end > bytes.length) {
-      return new Hearing(Map.of(), new byte[0]);
+      return new ReachabilityReport(Map.of(), new byte[0]);
     }
     for (int i = 2; i < end; i += 2) {
       int said = (bytes[i] & 0xff) << 8 | bytes[i + 1] & 0xff;
       missed.put(said & ~SPEAKS, (said & SPEAKS) != 0);
     }
-    return new Hearing(missed, Arrays.copyOfRange(bytes, end, bytes.length));
+    return new ReachabilityReport(missed, Arrays.copyOfRange(bytes, end, bytes.length));
   }
 
   byte[] bytes() {
--- a/src/main/java/bitternpulley/membership/Ears.java
+++ b/src/main/java/bitternpulley/membership/ReachabilityTracker.java
@@ -5,7 +5,7 @@
 import java.util.TreeMap;
 
 /** Which others this instance does not reach by itself, and so what it tells of that; with it goes what others have it tell. */
-final class Ears {
+final class ReachabilityTracker {
   /** Probes in a row that others had to answer for: at a loss of a fifth, two in a row are one in sixty. */
   static final int SURE = 3;
 
@@ -22,7 +22,7 @@
   Optional<byte[]> look(Table table, double speaksSince) {
     Map<Integer, Boolean> now = new TreeMap<>();
     for (Member m : table.all()) {
-      if (m.here() && m.missed >= SURE && now.size() < Hearing.MOST) {
+      if (m.here() && m.missed >= SURE && now.size() < ReachabilityReport.MOST) {
         now.put(m.number, m.spokeAt >= speaksSince);
       }
     }
@@ -35,7 +35,7 @@
 
   /** Other subsystems have it tell this; throws IllegalArgumentException where it is too long. */
   byte[] tell(byte[] bytes) {
-    if (bytes.length > Hearing.PAYLOAD) {
+    if (bytes.length > ReachabilityReport.PAYLOAD) {
       throw new IllegalArgumentException("a payload of " + bytes.length + " bytes");
     }
     payload = bytes.clone();
@@ -43,6 +43,6 @@
   }
 
   private byte[] bytes() {
-    return new Hearing(missed, payload).bytes();
+    return new ReachabilityReport(missed, payload).bytes();
   }
 }
--- a/src/main/java/bitternpulley/membership/Self.java
+++ b/src/main/java/bitternpulley/membership/Self.java
@@ -10,13 +10,13 @@
   static final int MOST_COUNT = 1_000_000_000;
 
   private final int number;
-  private final Card card;
+  private final MemberMetadata card;
   private long epoch;
   private int incarnation;
   private boolean leaving;
-  private Slot slot;
+  private MemberPayload slot;
 
-  Self(int number, Card card, long epoch) {
+  Self(int number, MemberMetadata card, long epoch) {
     this.number = number;
     this.card = card;
     this.epoch = epoch;
@@ -35,7 +35,7 @@
     return incarnation;
   }
 
-  Card card() {
+  MemberMetadata card() {
     return card;
   }
 
@@ -56,34 +56,34 @@
     if (slot != null && java.util.Arrays.equals(slot.bytes(), bytes)) {
       return false;
     }
-    slot = new Slot(slot == null ? 1 : slot.count() + 1, bytes);
+    slot = new MemberPayload(slot == null ? 1 : slot.count() + 1, bytes);
     return true;
   }
 
-  Slot slot() {
+  MemberPayload slot() {
     return slot;
   }
 
-  Rumor slotRumor() {
-    return new Rumor(number, epoch, incarnation, standing(), -1, null, slot);
+  GossipUpdate slotRumor() {
+    return new GossipUpdate(number, epoch, incarnation, standing(), -1, null, slot);
   }
 
   /** Whether somebody tells a slot of this process that it did not tell; then its own is told anew, as a later one. */
-  boolean corrects(Rumor said) {
+  boolean corrects(GossipUpdate said) {
     boolean wrong = said.slot() != null && said.epoch() == epoch && !said.slot().equals(slot)
         && said.slot().count() >= (slot == null ? 0 : slot.count()) && said.slot().count() < MOST_COUNT;
     if (wrong) {
-      slot = new Slot(said.slot().count() + 1, slot == null ? new byte[0] : slot.bytes());
+      slot = new MemberPayload(said.slot().count() + 1, slot == null ? new byte[0] : slot.bytes());
     }
     return wrong;
   }
 
-  Rumor rumor() {
-    return new Rumor(number, epoch, incarnation, standing(), -1, card);
+  GossipUpdate rumor() {
+    return new GossipUpdate(number, epoch, incarnation, standing(), -1, card);
   }
 
   /** Takes a later word than what is held of this instance, or of a later process of its number; whether there was need. */
-  boolean refutes(Rumor said) {
+  boolean refutes(GossipUpdate said) {
     boolean later = said.newerThan(epoch, incarnation);
     boolean accused = said.standing() != Standing.ALIVE && (later || said.epoch() == epoch
         && said.incarnation() == incarnation);
--- a/src/main/java/bitternpulley/peers/PeerCodec.java
+++ b/src/main/java/bitternpulley/peers/PeerCodec.java
@@ -3,10 +3,10 @@
 import bitternpulley.broker.Event;
 import bitternpulley.leases.LeaseMessage;
 import bitternpulley.leases.LeaseTerms;
-import bitternpulley.membership.Card;
+import bitternpulley.membership.MemberMetadata;
 import bitternpulley.membership.Message;
-import bitternpulley.membership.Rumor;
-import bitternpulley.membership.Slot;
+import bitternpulley.membership.GossipUpdate;
+import bitternpulley.membership.MemberPayload;
 import bitternpulley.membership.Standing;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
@@ -81,7 +81,7 @@
       out.writeNumber(m.target());
       out.writeNumber(m.view());
       out.writeStartArray(null, m.rumors().size());
-      for (Rumor r : m.rumors()) {
+      for (GossipUpdate r : m.rumors()) {
         rumor(out, r);
       }
       out.writeEndArray();
@@ -108,7 +108,7 @@
     return bytes.toByteArray();
   }
 
-  private static void rumor(JsonGenerator out, Rumor r) throws IOException {
+  private static void rumor(JsonGenerator out, GossipUpdate r) throws IOException {
     out.writeStartArray(null, 5 + (r.card() == null ? 0 : 4) + (r.slot() == null ? 0 : 2));
     out.writeNumber(r.number());
     out.writeNumber(r.epoch());
@@ -153,7 +153,7 @@
       int target = integer(in);
       int view = integer(in);
       begin(in, in.nextToken());
-      List<Rumor> rumors = new ArrayList<>();
+      List<GossipUpdate> rumors = new ArrayList<>();
       while (in.nextToken() == JsonToken.START_ARRAY && rumors.size() < Message.MOST_RUMORS) {
         rumors.add(rumor(in));
       }
@@ -173,7 +173,7 @@
     return named;
   }
 
-  private static Rumor rumor(JsonParser in) throws IOException {
+  private static GossipUpdate rumor(JsonParser in) throws IOException {
     int number = integer(in);
     long epoch = number(in);
     int incarnation = integer(in);
@@ -184,7 +184,7 @@
     for (; next == JsonToken.VALUE_STRING; next = in.nextToken()) {
       texts.add(in.getText());
     }
-    Slot slot = null;
+    MemberPayload slot = null;
     if (next == JsonToken.VALUE_NUMBER_INT) {
       slot = slot(in);
       next = in.nextToken();
@@ -192,17 +192,17 @@
     if (next != JsonToken.END_ARRAY || texts.size() != 0 && texts.size() != 4) {
       throw new IOException("a rumor that is none");
     }
-    return new Rumor(number, epoch, incarnation, standing, accuser,
-        texts.isEmpty() ? null : new Card(texts.get(0), texts.get(1), texts.get(2), texts.get(3)), slot);
+    return new GossipUpdate(number, epoch, incarnation, standing, accuser,
+        texts.isEmpty() ? null : new MemberMetadata(texts.get(0), texts.get(1), texts.get(2), texts.get(3)), slot);
   }
 
-  private static Slot slot(JsonParser in) throws IOException {
+  private static MemberPayload slot(JsonParser in) throws IOException {
     long count = in.getLongValue();
     byte[] bytes = in.nextToken() == JsonToken.VALUE_EMBEDDED_OBJECT ? in.getBinaryValue() : null;
-    if (bytes == null || bytes.length > Slot.MOST || count != (int) count) {
+    if (bytes == null || bytes.length > MemberPayload.MOST || count != (int) count) {
       throw new IOException("a slot that is none");
     }
-    return new Slot((int) count, bytes);
+    return new MemberPayload((int) count, bytes);
   }
 
   private static void begin(JsonParser in, JsonToken token) throws IOException {
--- a/src/main/java/bitternpulley/peers/Peers.java
+++ b/src/main/java/bitternpulley/peers/Peers.java
@@ -6,7 +6,7 @@
 import bitternpulley.broker.PeerWire;
 import bitternpulley.config.Configuration;
 import bitternpulley.config.MembershipConfiguration;
-import bitternpulley.membership.Card;
+import bitternpulley.membership.MemberMetadata;
 import bitternpulley.leases.Leases;
 import bitternpulley.membership.Membership;
 import bitternpulley.net.DatagramLink;
@@ -73,7 +73,7 @@
     Path folder = config.operations().folder().orElse(null);
     long epoch = EpochFile.next(folder, broker.now());
     int self = config.settings().self();
-    Membership core = new Membership(self, new Card(config.name(), zone(), membership.region(), build), epoch,
+    Membership core = new Membership(self, new MemberMetadata(config.name(), zone(), membership.region(), build), epoch,
         IntStream.range(0, addresses.size()).boxed().toList(), membership.terms(), config.seed(), broker.now());
     LOG.log(Level.INFO, "membership begins: number " + self + " of " + addresses.size() + ", epoch " + epoch);
     broker.submit(new Event.PeersBegin(core));
--- a/src/test/java/bitternpulley/membership/HollowMembers.java
+++ b/src/test/java/bitternpulley/membership/HollowMembers.java
@@ -13,7 +13,7 @@
 
   /** So many that have found each other. */
   public HollowMembers(int count, long seed) {
-    world = new World(count, seed, Terms.USUAL);
+    world = new World(count, seed, MembershipSettings.USUAL);
     world.run(SETTLED_MS + SETTLED_MS_EACH * count);
   }
 
--- a/src/test/java/bitternpulley/membership/MembershipTable.java
+++ b/src/test/java/bitternpulley/membership/MembershipTable.java
@@ -74,11 +74,11 @@
       Membership[] many = new Membership[20];
       long before = used();
       for (int k = 0; k < many.length; k++) {
-        many[k] = new Membership(0, new Card("n0", "z0", "r", "b"), 1, IntStream.range(0, members).boxed().toList(),
-            Terms.USUAL, 1, 1e9);
+        many[k] = new Membership(0, new MemberMetadata("n0", "z0", "r", "b"), 1, IntStream.range(0, members).boxed().toList(),
+            MembershipSettings.USUAL, 1, 1e9);
         for (int i = 1; i < members; i++) {
-          many[k].heard(new Message(Message.Kind.SYNC, i, 1_000_000, 0, 0, 0, 0, java.util.List.of(new Rumor(i, 1_000_000, 0,
-              Standing.ALIVE, -1, new Card("node-" + i, "zone", "region", "build"), new Slot(1, new byte[Slot.MOST])))), 1e9);
+          many[k].heard(new Message(Message.Kind.SYNC, i, 1_000_000, 0, 0, 0, 0, java.util.List.of(new GossipUpdate(i, 1_000_000, 0,
+              Standing.ALIVE, -1, new MemberMetadata("node-" + i, "zone", "region", "build"), new MemberPayload(1, new byte[MemberPayload.MOST])))), 1e9);
         }
       }
       System.out.println(members + " members: " + (used() - before) / many.length / members + " bytes a member, all heard of ("
@@ -93,7 +93,7 @@
 
   private static World world(int members, long seed, boolean plain) {
     return plain ? new World(members, seed, (number, epoch, chance, now) ->
-        new PlainDetector(number, members, epoch, Terms.USUAL, chance, now)) : new World(members, seed, Terms.USUAL);
+        new PlainDetector(number, members, epoch, MembershipSettings.USUAL, chance, now)) : new World(members, seed, MembershipSettings.USUAL);
   }
 
   /** From a kill until all live members know. */
--- a/src/test/java/bitternpulley/membership/MembershipTest.java
+++ b/src/test/java/bitternpulley/membership/MembershipTest.java
@@ -15,7 +15,7 @@
   private static final int SEEDS = 10;
 
   private static World settled(int count, long seed) {
-    World w = new World(count, seed, Terms.USUAL);
+    World w = new World(count, seed, MembershipSettings.USUAL);
     w.until(60_000, "all find each other", w::viewsEqual);
     w.run(3000);
     w.verdicts.clear();
@@ -75,7 +75,7 @@
 
   @Test
   void oneThatDidNotRunSaysSoAndAsksAtOnceHowItStands() {
-    Membership m = new Membership(0, new Card("n0", "z", "r", "b"), 1000, List.of(0, 1, 2, 3), Terms.USUAL, 1, 1000);
+    Membership m = new Membership(0, new MemberMetadata("n0", "z", "r", "b"), 1000, List.of(0, 1, 2, 3), MembershipSettings.USUAL, 1, 1000);
     m.tick(1100);
     List<Output> out = m.tick(1400);
     assertEquals(List.of(new Output.Woke(300)), out.stream().filter(o -> o instanceof Output.Woke).toList());
@@ -237,7 +237,7 @@
   /** Guards against news of a start, of which all have much to say, that holds up the word on one that is dead. */
   @Test
   void amongManyThatHaveJustStartedTheDeadIsKnownAllTheSame() {
-    World w = new World(400, 1, Terms.USUAL);
+    World w = new World(400, 1, MembershipSettings.USUAL);
     w.run(30_000);
     w.kill(7);
     double took = w.until(60_000, "all know", () -> w.allHold(7, Standing.DEAD));
@@ -275,7 +275,7 @@
     each(5, w -> {
       long before = w.at(1).epoch();
       Message old = new Message(Message.Kind.PING, 1, before, 0, 1, 0, 0,
-          List.of(new Rumor(2, w.at(2).epoch(), 0, Standing.DEAD, 1, null)));
+          List.of(new GossipUpdate(2, w.at(2).epoch(), 0, Standing.DEAD, 1, null)));
       w.kill(1);
       w.run(300);
       w.start(1);
@@ -332,7 +332,7 @@
       for (int k = 0; k < 300; k++) {
         for (int of = 0; of < 6; of++) {
           Standing[] lies = {Standing.SUSPECT, Standing.DEAD, Standing.LEFT};
-          Rumor lie = new Rumor(of, w.at(of).epoch() + (k % 3 == 0 ? 1000 : 0), k % 7, lies[k % 3], k % 6, null);
+          GossipUpdate lie = new GossipUpdate(of, w.at(of).epoch() + (k % 3 == 0 ? 1000 : 0), k % 7, lies[k % 3], k % 6, null);
           w.deliver(6, (of + 1 + k) % 6, new Message(Message.Kind.SYNC, 6, w.at(6).epoch(), 0, 0, 0, 0, List.of(lie)));
         }
         w.run(100);
@@ -355,7 +355,7 @@
   @ValueSource(ints = {7, 100})
   void whatAMemberTellsOfItselfReachesAllAndTheLaterWordStands(int count) {
     each(count, w -> {
-      byte[] first = new byte[Hearing.PAYLOAD];
+      byte[] first = new byte[ReachabilityReport.PAYLOAD];
       byte[] second = {1, 2, 3};
       w.loss = 0.2;
       w.at(1).tell(first);
@@ -388,12 +388,12 @@
       byte[] own = {7};
       w.at(1).tell(own);
       w.until(15_000, "told", () -> allHear(w, 1, own));
-      Rumor lie = new Rumor(1, w.at(1).epoch(), 0, Standing.ALIVE, -1, null, new Slot(50, new byte[] {1, 0, 66}));
+      GossipUpdate lie = new GossipUpdate(1, w.at(1).epoch(), 0, Standing.ALIVE, -1, null, new MemberPayload(50, new byte[] {1, 0, 66}));
       w.deliver(6, 2, new Message(Message.Kind.SYNC, 6, w.at(6).epoch(), 0, 0, 0, 0, List.of(lie)));
       w.run(100);
       assertTrue(tells(w, 2, 1, new byte[] {66}));
       w.until(30_000, "corrected", () -> allHear(w, 1, own));
-      Rumor beyond = new Rumor(1, w.at(1).epoch(), 0, Standing.ALIVE, -1, null, new Slot(Integer.MAX_VALUE, new byte[] {66}));
+      GossipUpdate beyond = new GossipUpdate(1, w.at(1).epoch(), 0, Standing.ALIVE, -1, null, new MemberPayload(Integer.MAX_VALUE, new byte[] {66}));
       w.deliver(6, 2, new Message(Message.Kind.SYNC, 6, w.at(6).epoch(), 0, 0, 0, 0, List.of(beyond)));
       w.run(3000);
       assertTrue(allHear(w, 1, own), "seed " + w.seed);
@@ -403,7 +403,7 @@
   @Test
   void aConfiguredPeerThatNeverExistedIsKnownForDeadAndNobodyElse() {
     for (long seed = 1; seed <= SEEDS; seed++) {
-      World w = new World(6, seed, Terms.USUAL);
+      World w = new World(6, seed, MembershipSettings.USUAL);
       w.kill(5);
       w.until(40_000, "never there", () -> w.allHold(5, Standing.DEAD));
       nobodyCalledDead(w, 5);
--- a/src/test/java/bitternpulley/membership/PlainDetector.java
+++ b/src/test/java/bitternpulley/membership/PlainDetector.java
@@ -21,10 +21,10 @@
 
   private final int self;
   private final long epoch;
-  private final Terms terms;
+  private final MembershipSettings terms;
   private final Random random;
   private final Standing[] standings;
-  private final Spread spread = new Spread();
+  private final DisseminationQueue spread = new DisseminationQueue();
   private final ArrayDeque<Integer> round = new ArrayDeque<>();
   private final Map<Integer, Helping> helping = new HashMap<>();
   private List<Output> out = new ArrayList<>();
@@ -35,7 +35,7 @@
   private final int[] incarnations;
   private double nextProbe;
 
-  PlainDetector(int self, int count, long epoch, Terms terms, long seed, double now) {
+  PlainDetector(int self, int count, long epoch, MembershipSettings terms, long seed, double now) {
     this.self = self;
     this.epoch = epoch;
     this.terms = terms;
@@ -112,11 +112,11 @@
     return out;
   }
 
-  private void rumor(Rumor r) {
+  private void rumor(GossipUpdate r) {
     if (r.number() == self) {
       if (r.standing() == Standing.DEAD && r.incarnation() >= incarnation) {
         incarnation = r.incarnation() + 1;
-        spread.add(new Rumor(self, epoch, incarnation, Standing.ALIVE, -1, null));
+        spread.add(new GossipUpdate(self, epoch, incarnation, Standing.ALIVE, -1, null));
       }
     } else if (r.incarnation() > incarnations[r.number()]
         || r.incarnation() == incarnations[r.number()] && r.standing() == Standing.DEAD) {
@@ -134,7 +134,7 @@
     if (standings[number] != next) {
       out.add(new Output.Changed(number, null, standings[number], next, "plain"));
       standings[number] = next;
-      spread.add(new Rumor(number, 1, at, next, self, null));
+      spread.add(new GossipUpdate(number, 1, at, next, self, null));
     }
   }
 
--- a/src/test/java/bitternpulley/membership/World.java
+++ b/src/test/java/bitternpulley/membership/World.java
@@ -81,9 +81,9 @@
   private long order;
   double now = 1_000_000_000;
 
-  World(int count, long seed, Terms terms) {
+  World(int count, long seed, MembershipSettings terms) {
     this(count, seed, (number, epoch, chance, now) -> new Own(new Membership(number,
-        new Card("n" + number, "z" + number % 2, "r", "b"), epoch, IntStream.range(0, count).boxed().toList(), terms, chance, now)));
+        new MemberMetadata("n" + number, "z" + number % 2, "r", "b"), epoch, IntStream.range(0, count).boxed().toList(), terms, chance, now)));
   }
 
   World(int count, long seed, Maker maker) {
--- a/src/test/java/bitternpulley/peers/PeerCodecTest.java
+++ b/src/test/java/bitternpulley/peers/PeerCodecTest.java
@@ -7,15 +7,15 @@
 import bitternpulley.broker.Event;
 import bitternpulley.leases.LeaseMessage;
 import bitternpulley.leases.LeaseTerms;
-import bitternpulley.membership.Card;
-import bitternpulley.membership.Hearing;
+import bitternpulley.membership.MemberMetadata;
+import bitternpulley.membership.ReachabilityReport;
 import bitternpulley.membership.Membership;
 import bitternpulley.membership.Message;
 import bitternpulley.membership.Output;
-import bitternpulley.membership.Rumor;
-import bitternpulley.membership.Slot;
+import bitternpulley.membership.GossipUpdate;
+import bitternpulley.membership.MemberPayload;
 import bitternpulley.membership.Standing;
-import bitternpulley.membership.Terms;
+import bitternpulley.membership.MembershipSettings;
 import java.io.IOException;
 import java.util.BitSet;
 import java.util.List;
@@ -31,9 +31,9 @@
   private final PeerCodec codec = new PeerCodec("test");
 
   private static Membership member() {
-    return new Membership(2047, new Card("a-name-of-24-characters!", "a-zone-of-24-characters!",
+    return new Membership(2047, new MemberMetadata("a-name-of-24-characters!", "a-zone-of-24-characters!",
         "a-region-of-24-character", "a-build-of-24-characters"), (long) NOW, IntStream.range(0, 40).boxed().toList(),
-        Terms.USUAL, 1, NOW);
+        MembershipSettings.USUAL, 1, NOW);
   }
 
   private static List<Message> sent(List<Output> outputs) {
@@ -50,12 +50,12 @@
       now += 100;
       List<Message> out = new java.util.ArrayList<>(sent(m.tick(now)));
       int from = random.nextInt(40);
-      Rumor about = new Rumor(random.nextInt(2048), (long) now - random.nextInt(1000), random.nextInt(1_000_000),
+      GossipUpdate about = new GossipUpdate(random.nextInt(2048), (long) now - random.nextInt(1000), random.nextInt(1_000_000),
           Standing.values()[random.nextInt(4)], random.nextInt(2048), random.nextBoolean() ? null
-          : new Card("another-name-of-24-chars", "another-zone-of-24-chars", "another-region-of-24-c", "another-build"),
-          random.nextBoolean() ? null : new Slot(i + 1, new byte[random.nextInt(Slot.MOST + 1)]));
+          : new MemberMetadata("another-name-of-24-chars", "another-zone-of-24-chars", "another-region-of-24-c", "another-build"),
+          random.nextBoolean() ? null : new MemberPayload(i + 1, new byte[random.nextInt(MemberPayload.MOST + 1)]));
       if (i % 20 == 0) {
-        byte[] slot = new byte[Hearing.PAYLOAD];
+        byte[] slot = new byte[ReachabilityReport.PAYLOAD];
         random.nextBytes(slot);
         m.tell(slot);
       }
@@ -115,7 +115,7 @@
       return;
     }
     Message message = said.message();
-    Membership m = new Membership(1, new Card("n1", "z", "r", "b"), (long) NOW, List.of(0, 1, 2), Terms.USUAL, 1, NOW);
+    Membership m = new Membership(1, new MemberMetadata("n1", "z", "r", "b"), (long) NOW, List.of(0, 1, 2), MembershipSettings.USUAL, 1, NOW);
     m.heard(message, NOW);
     m.tick(NOW + 100);
     assertEquals(3, m.members().size());
