--- a/src/main/java/bitternpulley/health/ServerRoom.java
+++ b/src/main/java/bitternpulley/health/ServerConcurrencyLimit.java
@@ -6,7 +6,7 @@
  * How many parts of this instance a server has room for. Guards against a queue that is full of parts which nobody
  * awaits: a server goes on with what was called off, so that counts until a part sent later is answered.
  */
-public final class ServerRoom {
+public final class ServerConcurrencyLimit {
   private static final double FIRST = 32;
   private static final double LEAST = 1;
   /** What a refusal for a full queue, and an answer that took long, leave of the room; what a timely answer adds. */
--- a/src/main/java/bitternpulley/health/Stall.java
+++ b/src/main/java/bitternpulley/health/StallDetector.java
@@ -6,7 +6,7 @@
  * Tells when nothing comes from any server. Guards against a moment in which all stand still, or the way to them does: each
  * would be taken for silent, its parts called off and sent elsewhere, and the backlog doubled just as it begins to move.
  */
-public final class Stall {
+public final class StallDetector {
   /** A server as far as parts out there tell of a stall. */
   public interface Awaited {
     /** When the oldest part out there was sent; infinity where none is. */
--- a/src/main/java/bitternpulley/health/Way.java
+++ b/src/main/java/bitternpulley/health/ZoneLatency.java
@@ -1,7 +1,7 @@
 package bitternpulley.health;
 
 /** What is known of the way to the servers of one zone: what parts take there, how many are late, how many new connections fail. */
-public final class Way {
+public final class ZoneLatency {
   /** Weight of a new latency, and of a part that was late or in time. */
   private static final double SMOOTHING = 0.05;
   private static final double LOSS = 0.1;
@@ -20,7 +20,7 @@
   private double freshLoss;
 
   /** One of which nothing is known but a guess at its latency, ms. */
-  public Way(double latency) {
+  public ZoneLatency(double latency) {
     this.latency = latency;
   }
 
--- a/src/main/java/bitternpulley/policy/Policy.java
+++ b/src/main/java/bitternpulley/policy/Policy.java
@@ -4,9 +4,9 @@
 
 import bitternpulley.health.ConcurrencyLimit;
 import bitternpulley.health.FirstTries;
-import bitternpulley.health.Stall;
+import bitternpulley.health.StallDetector;
 import bitternpulley.health.TenantShares;
-import bitternpulley.health.Way;
+import bitternpulley.health.ZoneLatency;
 import bitternpulley.health.WindowCount;
 import bitternpulley.health.WorkEstimate;
 import bitternpulley.policy.State.Attempt;
@@ -132,13 +132,13 @@
   private final WindowCount extras;
   private final TenantShares tenants;
   private final List<FirstTries> firstTries = new ArrayList<>();
-  private final List<Way> ways = new ArrayList<>();
+  private final List<ZoneLatency> ways = new ArrayList<>();
   private final double firstLatency;
   /** The yardstick for what is late: the quickest zone's latency, which no slow way or zone can stretch. */
   private double usual;
   private final ConcurrencyLimit limit = new ConcurrencyLimit();
   private final WorkEstimate estimate = new WorkEstimate();
-  private final Stall stall = new Stall();
+  private final StallDetector stall = new StallDetector();
   /** Parts out that are not late: what a silent server sits on says nothing of the others' load. */
   private int partsOut;
   private boolean freed;
@@ -666,9 +666,9 @@
     return now >= q.aimAt || spared;
   }
 
-  private Way way(int zone) {
+  private ZoneLatency way(int zone) {
     while (ways.size() <= zone) {
-      ways.add(new Way(firstLatency));
+      ways.add(new ZoneLatency(firstLatency));
     }
     return ways.get(zone);
   }
@@ -847,11 +847,11 @@
   }
 
   private void smooth(Server s, double took) {
-    Way way = way(s.zone);
+    ZoneLatency way = way(s.zone);
     s.latency = s.latency == 0 ? way.latency() : s.latency;
     s.latency += SMOOTHING * (took - s.latency);
     way.took(took);
-    usual = ways.stream().mapToDouble(Way::heardLatency).min().orElse(usual);
+    usual = ways.stream().mapToDouble(ZoneLatency::heardLatency).min().orElse(usual);
     s.slow = s.latency > (s.slow ? SLOW_STILL : SLOW_ALONE) * usual;
   }
 
--- a/src/main/java/bitternpulley/policy/State.java
+++ b/src/main/java/bitternpulley/policy/State.java
@@ -2,8 +2,8 @@
 
 import bitternpulley.health.ColdBudget;
 import bitternpulley.health.CoreEstimate;
-import bitternpulley.health.ServerRoom;
-import bitternpulley.health.Stall;
+import bitternpulley.health.ServerConcurrencyLimit;
+import bitternpulley.health.StallDetector;
 import bitternpulley.routing.Router;
 import bitternpulley.routing.Settings;
 import java.util.ArrayList;
@@ -19,7 +19,7 @@
   private State() {}
 
   /** A server as this instance knows it. */
-  static final class Server implements Stall.Awaited {
+  static final class Server implements StallDetector.Awaited {
     String id;
     int zone;
     double tie;
@@ -40,7 +40,7 @@
     private double callAt = Double.NEGATIVE_INFINITY;
     private int callParts;
     ColdBudget cold;
-    final ServerRoom room = new ServerRoom();
+    final ServerConcurrencyLimit room = new ServerConcurrencyLimit();
     final Set<Attempt> out = new LinkedHashSet<>();
 
     @Override
--- a/src/test/java/bitternpulley/health/ServerRoomTest.java
+++ b/src/test/java/bitternpulley/health/ServerConcurrencyLimitTest.java
@@ -6,8 +6,8 @@
 
 import org.junit.jupiter.api.Test;
 
-class ServerRoomTest {
-  private final ServerRoom room = new ServerRoom();
+class ServerConcurrencyLimitTest {
+  private final ServerConcurrencyLimit room = new ServerConcurrencyLimit();
 
   private int taken(boolean canWait, double now) {
     int out = 0;
