Rename: the core's records and events by what they are

Held OpenRequests, Roster ServerDirectory, broker's Standing OperatorOrders, StandingFile OrdersFile; events Told ServersListed, Left ClientLeft, Stands OrdersChanged, Lapsed TimeExpired, Beside UpgradePeerChanged. No behaviour changes.

--- a/src/main/java/bitternpulley/Aggregator.java
+++ b/src/main/java/bitternpulley/Aggregator.java
@@ -1,7 +1,7 @@
 package bitternpulley;
 
 import bitternpulley.admin.AdminEndpoint;
-import bitternpulley.admin.StandingFile;
+import bitternpulley.admin.OrdersFile;
 import bitternpulley.broker.Broker;
 import bitternpulley.broker.Clock;
 import bitternpulley.broker.Event;
@@ -103,7 +103,7 @@
     servers.answersTo(queries::reply);
     front = new HttpServer(loop, MOST_BODY, clients, HttpServer.Timeouts.USUAL, queries);
     search = searchConfig.map(c -> searchSide(c, connectTimeout, links, clients));
-    admin = new AdminEndpoint(loop, broker, new StandingFile(config.operations().folder()), this);
+    admin = new AdminEndpoint(loop, broker, new OrdersFile(config.operations().folder()), this);
     // No lambda: to link one that makes it would load the class where membership is off.
     peers = agreed.membership().isEmpty() ? Optional.empty()
         : Optional.of(new Peers(loop, broker, config, agreed.membership().get(), build()));
@@ -247,9 +247,9 @@
       search.ifPresent(s -> listen(at -> s.front().listen(at, true), s.listen()));
       listen(at -> front.listen(PassedListener.inherited(loop)), config.listen());
       // Whether one is being replaced is not told; if so, what it has taken till its grace ends is past its deadline then.
-      broker.submit(new Event.Beside(Router.Beside.PREDECESSOR));
+      broker.submit(new Event.UpgradePeerChanged(Router.Beside.PREDECESSOR));
       loop.after(GRACE + longestDeadline(),
-          () -> broker.submit(new Event.Beside(draining ? Router.Beside.SUCCESSOR : Router.Beside.NONE)));
+          () -> broker.submit(new Event.UpgradePeerChanged(draining ? Router.Beside.SUCCESSOR : Router.Beside.NONE)));
     }
     rehearsed = true;
     LOG.log(Level.INFO, config.name() + " is ready at " + config.listen()
@@ -295,7 +295,7 @@
       servers.keepOnly(named);
       search.ifPresent(s -> s.servers().keepOnly(named));
     }
-    broker.submit(new Event.Told(kind, list.entries().stream().map(ServerList.Entry::member).toList()));
+    broker.submit(new Event.ServersListed(kind, list.entries().stream().map(ServerList.Entry::member).toList()));
   }
 
   /** On a thread of its own: the loop must not wait for a file. A file that cannot be used changes nothing. */
@@ -357,7 +357,7 @@
       if (config.operations().passedSocket()) {
         // What comes from now on is for the process that takes over.
         front.stopAccepting();
-        broker.submit(new Event.Beside(Router.Beside.SUCCESSOR));
+        broker.submit(new Event.UpgradePeerChanged(Router.Beside.SUCCESSOR));
       }
       fronts().forEach(HttpServer::letIn); // told to end before discovery's word: who waits is served by what is known
       double kill = clock.now() + Math.min(LONGEST_MOST, longestDeadline()) + AFTER_LONGEST;
--- a/src/main/java/bitternpulley/admin/AdminEndpoint.java
+++ b/src/main/java/bitternpulley/admin/AdminEndpoint.java
@@ -5,7 +5,7 @@
 import bitternpulley.broker.Event;
 import bitternpulley.broker.Operators;
 import bitternpulley.broker.Payload;
-import bitternpulley.broker.Standing;
+import bitternpulley.broker.OperatorOrders;
 import bitternpulley.net.EventLoop;
 import bitternpulley.net.HostPort;
 import bitternpulley.net.LineServer;
@@ -36,10 +36,10 @@
 
   private final EventLoop loop;
   private final Broker broker;
-  private final StandingFile file;
+  private final OrdersFile file;
   private final Program program;
 
-  public AdminEndpoint(EventLoop loop, Broker broker, StandingFile file, Program program) {
+  public AdminEndpoint(EventLoop loop, Broker broker, OrdersFile file, Program program) {
     this.loop = loop;
     this.broker = broker;
     this.file = file;
@@ -57,8 +57,8 @@
     new LineServer(loop, this).listen(at);
   }
 
-  private void stands(Standing standing) {
-    broker.submit(new Event.Stands(standing));
+  private void stands(OperatorOrders standing) {
+    broker.submit(new Event.OrdersChanged(standing));
   }
 
   @Override
@@ -66,10 +66,10 @@
     String[] words = line.split(" +");
     switch (words[0] + "/" + words.length) {
       case "health/1" -> answer.accept(program.serving() ? "200 yes" : "400 no clients are taken");
-      case "cordon/2" -> order(new Standing.Order(words[1], true), line, answer);
-      case "uncordon/2" -> order(new Standing.Order(words[1], false), line, answer);
-      case "quiesce/1" -> order(new Standing.Order(null, true), line, answer);
-      case "resume/1" -> order(new Standing.Order(null, false), line, answer);
+      case "cordon/2" -> order(new OperatorOrders.Order(words[1], true), line, answer);
+      case "uncordon/2" -> order(new OperatorOrders.Order(words[1], false), line, answer);
+      case "quiesce/1" -> order(new OperatorOrders.Order(null, true), line, answer);
+      case "resume/1" -> order(new OperatorOrders.Order(null, false), line, answer);
       case "reload/1" -> {
         LOG.log(Level.INFO, "by an operator: reload");
         program.reload(told -> loop.execute(() -> answer.accept(told)));
@@ -89,7 +89,7 @@
     return "400 the line is too long";
   }
 
-  private void order(Standing.Order order, String line, Consumer<String> answer) {
+  private void order(OperatorOrders.Order order, String line, Consumer<String> answer) {
     broker.submit(new Event.Ordered(order, new Caller(line, answer)));
   }
 
--- a/src/main/java/bitternpulley/admin/StandingFile.java
+++ b/src/main/java/bitternpulley/admin/OrdersFile.java
@@ -1,6 +1,6 @@
 package bitternpulley.admin;
 
-import bitternpulley.broker.Standing;
+import bitternpulley.broker.OperatorOrders;
 import java.io.IOException;
 import java.lang.System.Logger.Level;
 import java.nio.channels.FileChannel;
@@ -25,8 +25,8 @@
  * Keeps what operators have ordered in a small file, which outlives the process and which the next one, or one that runs
  * at the same time, reads. Works on a thread of its own: nothing on the loop waits for a file.
  */
-public final class StandingFile {
-  private static final System.Logger LOG = System.getLogger(StandingFile.class.getName());
+public final class OrdersFile {
+  private static final System.Logger LOG = System.getLogger(OrdersFile.class.getName());
   private static final String NAME = "bitternpulley-orders";
   private static final String CORDONED = "cordoned ";
   private static final String QUIESCED = "quiesced";
@@ -41,24 +41,24 @@
         made.setDaemon(true);
         return made;
       });
-  private Standing last = Standing.NOTHING;
+  private OperatorOrders last = OperatorOrders.NOTHING;
   private boolean unusable;
 
   /** A file in a folder; with none, orders are only remembered. */
-  public StandingFile(Optional<Path> folder) {
+  public OrdersFile(Optional<Path> folder) {
     file = folder.map(f -> f.resolve(NAME));
   }
 
   /** What stands; called once, before the file is watched. */
-  public Standing read() {
+  public OperatorOrders read() {
     last = current();
     return last;
   }
 
   /** Tells of each change that another process made. */
-  public void watch(Consumer<Standing> changed) {
+  public void watch(Consumer<OperatorOrders> changed) {
     thread.scheduleWithFixedDelay(() -> {
-      Standing now = current();
+      OperatorOrders now = current();
       if (!now.equals(last)) {
         last = now;
         changed.accept(now);
@@ -67,7 +67,7 @@
   }
 
   /** Carries out an order; {@code done} hears what then stands, and what went wrong with the file or null. */
-  public void change(Standing.Order order, BiConsumer<Standing, String> done) {
+  public void change(OperatorOrders.Order order, BiConsumer<OperatorOrders, String> done) {
     thread.execute(() -> {
       String failure = null;
       try {
@@ -82,7 +82,7 @@
   }
 
   @SuppressWarnings("try") // the lock is held, not used
-  private void change(Standing.Order order) throws IOException {
+  private void change(OperatorOrders.Order order) throws IOException {
     if (file.isEmpty()) {
       last = last.with(order);
       return;
@@ -91,7 +91,7 @@
     // Guards against two processes that read, change and replace at once, of which one's change would be lost.
     try (FileChannel channel = FileChannel.open(at.resolveSibling(NAME + ".lock"), StandardOpenOption.CREATE,
         StandardOpenOption.WRITE); FileLock lock = channel.lock()) {
-      Standing fresh = current().with(order);
+      OperatorOrders fresh = current().with(order);
       List<String> lines = new ArrayList<>();
       new TreeSet<>(fresh.cordoned()).forEach(s -> lines.add(CORDONED + s));
       if (fresh.quiesced()) {
@@ -105,7 +105,7 @@
   }
 
   /** What the file says; what stood before where it cannot be used, since a ban must not be lifted by that. */
-  private Standing current() {
+  private OperatorOrders current() {
     if (file.isEmpty()) {
       return last;
     }
@@ -125,7 +125,7 @@
         }
       }
       unusable = false;
-      return new Standing(cordoned, quiesced);
+      return new OperatorOrders(cordoned, quiesced);
     } catch (NoSuchFileException e) {
       return last;
     } catch (MalformedInputException e) {
@@ -135,7 +135,7 @@
     }
   }
 
-  private Standing keep(String why) {
+  private OperatorOrders keep(String why) {
     if (!unusable) {
       unusable = true;
       LOG.log(Level.WARNING, "the file of operators' orders cannot be used, what stood before stays: " + why);
--- a/src/main/java/bitternpulley/broker/Effect.java
+++ b/src/main/java/bitternpulley/broker/Effect.java
@@ -43,7 +43,7 @@
   record CloseIdle(String server) implements Effect {}
 
   /** Keep an operator's order, then tell its caller. */
-  record Keep(Standing.Order order, Payload caller) implements Effect {}
+  record Keep(OperatorOrders.Order order, Payload caller) implements Effect {}
 
   /** Tell an operator that an order cannot be carried out. */
   record Turn(Payload caller, String why) implements Effect {}
--- a/src/main/java/bitternpulley/broker/Event.java
+++ b/src/main/java/bitternpulley/broker/Event.java
@@ -19,10 +19,10 @@
   record Taken(Request request) implements Event {}
 
   /** The client of a request has left. */
-  record Left(long request) implements Event {}
+  record ClientLeft(long request) implements Event {}
 
   /** Discovery has told a list of servers or a change. */
-  record Told(Router.ListKind kind, List<Router.Member> members) implements Event {}
+  record ServersListed(Router.ListKind kind, List<Router.Member> members) implements Event {}
 
   /** An attempt has ended by itself; {@code value} is what it brought, or null. */
   record Ended(AttemptId attempt, Router.Outcome outcome, Payload value) implements OfAttempt {}
@@ -34,7 +34,7 @@
   record Abandoned(AttemptId attempt) implements OfAttempt {}
 
   /** A request's time is over, and deciding on something of it may have failed: it must have its answer all the same. */
-  record Lapsed(long request) implements Event {}
+  record TimeExpired(long request) implements Event {}
 
   /** An attempt was never sent, since the rules forbid it. */
   record Unsent(AttemptId attempt, String server) implements OfAttempt {}
@@ -48,13 +48,13 @@
   }
 
   /** An operator has ordered something; {@code caller} is for the answer. */
-  record Ordered(Standing.Order order, Payload caller) implements Event {}
+  record Ordered(OperatorOrders.Order order, Payload caller) implements Event {}
 
   /** What now stands of the operators' orders, as it is kept. */
-  record Stands(Standing standing) implements Event {}
+  record OrdersChanged(OperatorOrders standing) implements Event {}
 
   /** Another process of this aggregator runs at the same time, or none does any more. */
-  record Beside(Router.Beside other) implements Event {}
+  record UpgradePeerChanged(Router.Beside other) implements Event {}
 
   /** Other contracts are in force from now on. */
   record Agreed(ContractBook book) implements Event {}
--- a/src/main/java/bitternpulley/broker/Held.java
+++ b/src/main/java/bitternpulley/broker/OpenRequests.java
@@ -14,7 +14,7 @@
  * What the reducer holds of requests, their parts and the attempts that are out. It decides nothing: {@link Reducer}, its
  * one user, changes it as events ask.
  */
-final class Held {
+final class OpenRequests {
   /** Ms before a client's end from which an end without an answer counts as out of time: more where answers leave earlier. */
   private static final double LATE = 100;
   /** Share of a client's time that this takes at most: some wait for less. */
--- a/src/main/java/bitternpulley/broker/Standing.java
+++ b/src/main/java/bitternpulley/broker/OperatorOrders.java
@@ -4,17 +4,17 @@
 import java.util.TreeSet;
 
 /** What operators have ordered and not taken back: the servers that are cordoned, and whether to send clients away. */
-public record Standing(Set<String> cordoned, boolean quiesced) {
-  public static final Standing NOTHING = new Standing(Set.of(), false);
+public record OperatorOrders(Set<String> cordoned, boolean quiesced) {
+  public static final OperatorOrders NOTHING = new OperatorOrders(Set.of(), false);
 
-  public Standing {
+  public OperatorOrders {
     cordoned = Set.copyOf(cordoned);
   }
 
   /** The same with an order carried out; once more changes nothing. */
-  public Standing with(Order order) {
+  public OperatorOrders with(Order order) {
     if (order.server() == null) {
-      return new Standing(cordoned, order.on());
+      return new OperatorOrders(cordoned, order.on());
     }
     Set<String> changed = new TreeSet<>(cordoned);
     if (order.on()) {
@@ -22,7 +22,7 @@
     } else {
       changed.remove(order.server());
     }
-    return new Standing(changed, quiesced);
+    return new OperatorOrders(changed, quiesced);
   }
 
   /** To cordon a server or let it back in; where {@code server} is null, to quiesce or to resume. */
--- a/src/main/java/bitternpulley/broker/Reducer.java
+++ b/src/main/java/bitternpulley/broker/Reducer.java
@@ -1,8 +1,8 @@
 package bitternpulley.broker;
 
-import bitternpulley.broker.Held.Open;
-import bitternpulley.broker.Held.Out;
-import bitternpulley.broker.Held.Part;
+import bitternpulley.broker.OpenRequests.Open;
+import bitternpulley.broker.OpenRequests.Out;
+import bitternpulley.broker.OpenRequests.Part;
 import bitternpulley.contracts.Charge;
 import bitternpulley.contracts.Verdict;
 import bitternpulley.leases.Leases;
@@ -28,10 +28,10 @@
 
   private final Settings settings;
   private final Router router;
-  private final Held held = new Held();
+  private final OpenRequests held = new OpenRequests();
   private final ArrayDeque<Event> inner = new ArrayDeque<>();
   private final Recorder recorder = new Recorder();
-  private final Roster roster = new Roster();
+  private final ServerDirectory roster = new ServerDirectory();
   private final Accounts accounts;
   private final PeerState peers = new PeerState();
   private List<Effect> effects = new ArrayList<>();
@@ -92,20 +92,20 @@
   private void apply(Event event) {
     if (event instanceof Event.Taken e) {
       take(e.request());
-    } else if (event instanceof Event.Left e) {
+    } else if (event instanceof Event.ClientLeft e) {
       Open left = forget(e.request());
       if (left != null) {
         accounts.over(left.charge, false, now, effects);
         router.gone(e.request(), now, recorder);
       }
-    } else if (event instanceof Event.Told e) {
+    } else if (event instanceof Event.ServersListed e) {
       router.members(e.kind(), roster.told(e), now, recorder);
       withdraw();
     } else if (event instanceof Event.Agreed e) {
       accounts.apply(e.book(), now);
     } else if (event instanceof Event.Ordered e) {
       ordered(e);
-    } else if (event instanceof Event.Stands e) {
+    } else if (event instanceof Event.OrdersChanged e) {
       stands(e.standing());
     } else if (event instanceof Event.Ended e) {
       ended(e.attempt(), e.outcome(), e.value());
@@ -121,9 +121,9 @@
       }
     } else if (event instanceof Event.Overdue e) {
       overdue(e);
-    } else if (event instanceof Event.Lapsed e) {
+    } else if (event instanceof Event.TimeExpired e) {
       drop(e.request());
-    } else if (event instanceof Event.Beside e) {
+    } else if (event instanceof Event.UpgradePeerChanged e) {
       router.beside(e.other());
     } else if (event instanceof Event.Alarm e) {
       router.alarm(e.token(), now, recorder);
@@ -136,8 +136,8 @@
   }
 
   /** The module hears of what changed; a list that clears a server also tells it. */
-  private void stands(Standing fresh) {
-    Roster.Change change = roster.stands(fresh);
+  private void stands(OperatorOrders fresh) {
+    ServerDirectory.Change change = roster.stands(fresh);
     if (!change.out().isEmpty()) {
       router.members(Router.ListKind.CHANGES, change.out(), now, recorder);
       withdraw();
@@ -280,7 +280,7 @@
     for (Open open : held.requests()) {
       if (!open.lapses) {
         open.lapses = true;
-        effects.add(new Effect.WakeAt(open.endsAt, new Event.Lapsed(open.request.id())));
+        effects.add(new Effect.WakeAt(open.endsAt, new Event.TimeExpired(open.request.id())));
       }
     }
   }
--- a/src/main/java/bitternpulley/broker/Roster.java
+++ b/src/main/java/bitternpulley/broker/ServerDirectory.java
@@ -6,12 +6,12 @@
 import java.util.Map;
 
 /** What discovery last said of each server that is there, with the operators' orders laid over it. */
-final class Roster {
+final class ServerDirectory {
   private final Map<String, Router.Member> listed = new HashMap<>();
-  private Standing standing = Standing.NOTHING;
+  private OperatorOrders standing = OperatorOrders.NOTHING;
 
   /** Takes in a list or a change and returns its members as the module is to hear of them. */
-  List<Router.Member> told(Event.Told e) {
+  List<Router.Member> told(Event.ServersListed e) {
     if (e.kind() != Router.ListKind.CHANGES) {
       listed.clear();
     }
@@ -46,8 +46,8 @@
   record Change(List<Router.Member> out, List<Router.Member> back, boolean quiesces, boolean quiesced) {}
 
   /** Puts other orders in force. */
-  Change stands(Standing fresh) {
-    Standing before = standing;
+  Change stands(OperatorOrders fresh) {
+    OperatorOrders before = standing;
     standing = fresh;
     List<Router.Member> out = listed.values().stream().filter(m -> fresh.cordoned().contains(m.server())
         && !before.cordoned().contains(m.server())).map(this::asOrdered).toList();
--- a/src/main/java/bitternpulley/opensearch/SearchFront.java
+++ b/src/main/java/bitternpulley/opensearch/SearchFront.java
@@ -231,7 +231,7 @@
     broker.submit(new Event.Taken(
         new Request(id, servers, search[0].requestClass(), time, false, terms, slices, search[0], team, print,
             asker.late())));
-    return () -> broker.submit(new Event.Left(id));
+    return () -> broker.submit(new Event.ClientLeft(id));
   }
 
   private static void heading(JsonNode heading) {
--- a/src/main/java/bitternpulley/platform/QueryFront.java
+++ b/src/main/java/bitternpulley/platform/QueryFront.java
@@ -64,7 +64,7 @@
       long id = broker.nextId();
       exchange.onGone(() -> {
         open.remove(query.id());
-        broker.submit(new Event.Left(id));
+        broker.submit(new Event.ClientLeft(id));
       });
       broker.submit(new Event.Taken(new Request(id, servers, query.requestClass(), query.timeLeft(), query.retry(),
           Router.Terms.OF_CLASS, query.slices(), query, recognition.get().byClass(query.requestClass()),
--- a/src/main/java/bitternpulley/platform/Rehearsal.java
+++ b/src/main/java/bitternpulley/platform/Rehearsal.java
@@ -83,7 +83,7 @@
         (ms, task) -> alarms.add(new Alarm(time + ms, task)));
     front = new QueryFront(settings, broker, this, () -> false, () -> Recognition.NONE);
     broker.add(this);
-    broker.submit(new Event.Told(Router.ListKind.REMEMBERED, IntStream.range(0, settings.layout().cells())
+    broker.submit(new Event.ServersListed(Router.ListKind.REMEMBERED, IntStream.range(0, settings.layout().cells())
         .mapToObj(c -> new Router.Member("r" + c, c % 2, c, Router.ServerState.LIVE, 0)).toList()));
   }
 
--- a/src/test/java/bitternpulley/broker/BrokerTest.java
+++ b/src/test/java/bitternpulley/broker/BrokerTest.java
@@ -38,7 +38,7 @@
         new Settings.Layout(4, 4, 2, 1), new Settings.Limits(4, 50, true, false, false, true, 500, 250),
         new Settings.Rules(20, 250, 0.2, 10_000, 2, 1000, false, 0, 0, 0, 0), new Settings.Prices(0.05, 0, 0, 0, 0, 0));
     broker = new Broker(new Reducer(settings, 7, now), () -> now, (ms, task) -> due.add(new Due(now + ms, task)));
-    broker.submit(new Event.Told(Router.ListKind.REMEMBERED, IntStream.range(0, 4).mapToObj(
+    broker.submit(new Event.ServersListed(Router.ListKind.REMEMBERED, IntStream.range(0, 4).mapToObj(
         i -> new Router.Member("s" + i, i % 2, i, Router.ServerState.LIVE, 0)).toList()));
   }
 
--- a/src/test/java/bitternpulley/broker/FleetTest.java
+++ b/src/test/java/bitternpulley/broker/FleetTest.java
@@ -71,7 +71,7 @@
     now = 0;
     for (int i = 0; i < INSTANCES; i++) {
       fleet.add(new Reducer(settings(i), 7 + i, now));
-      tell(i, new Event.Told(Router.ListKind.REMEMBERED, IntStream.range(0, SERVERS)
+      tell(i, new Event.ServersListed(Router.ListKind.REMEMBERED, IntStream.range(0, SERVERS)
           .mapToObj(s -> member(s, Router.ServerState.LIVE, 0)).toList()));
     }
   }
@@ -128,7 +128,7 @@
     int asked = ask(random, 8, BACK + 8000);
     run(BACK);
     for (int i = 0; i < INSTANCES; i++) {
-      tell(i, new Event.Told(Router.ListKind.CHANGES, List.of(member(3, Router.ServerState.LIVE, now),
+      tell(i, new Event.ServersListed(Router.ListKind.CHANGES, List.of(member(3, Router.ServerState.LIVE, now),
           member(4, Router.ServerState.DRAINING, 0))));
     }
     run(BACK + 10_000);
@@ -151,7 +151,7 @@
     int asked = ask(random, 2, 6000);
     run(3000);
     for (int i = 0; i < INSTANCES; i++) {
-      tell(i, new Event.Told(Router.ListKind.CHANGES, List.of(member(3, Router.ServerState.DRAINING, 0))));
+      tell(i, new Event.ServersListed(Router.ListKind.CHANGES, List.of(member(3, Router.ServerState.DRAINING, 0))));
     }
     run(8000);
     assertEquals(most("s3", 3000.01, 8000), 0.0);
--- a/src/test/java/bitternpulley/broker/ReducerTest.java
+++ b/src/test/java/bitternpulley/broker/ReducerTest.java
@@ -46,7 +46,7 @@
     now = 1000;
     effects.clear();
     reducer = new Reducer(settings, 7, now);
-    tell(new Event.Told(Router.ListKind.REMEMBERED, IntStream.range(0, 4).mapToObj(
+    tell(new Event.ServersListed(Router.ListKind.REMEMBERED, IntStream.range(0, 4).mapToObj(
         i -> new Router.Member("s" + i, i % 2, i, Router.ServerState.LIVE, 0)).toList()));
   }
 
@@ -81,7 +81,7 @@
     assertTrue(answer.whole());
     assertEquals(answer.values().toString(), "{0=Word[text=a], 1=Word[text=b]}");
     tell(new Event.Ended(start(1).id(), Router.Outcome.OK, new Word("again")));
-    tell(new Event.Left(1));
+    tell(new Event.ClientLeft(1));
     assertEquals(all(Effect.Reply.class).size(), 1);
     assertEquals(reducer.open(), 0);
   }
@@ -215,7 +215,7 @@
   @Test
   public void whoLeavesGetsNoAnswerAndItsPartsAreGivenUp() {
     ask(1, 0, 1);
-    tell(new Event.Left(1));
+    tell(new Event.ClientLeft(1));
     assertEquals(all(Effect.Abandon.class).size(), 2);
     assertEquals(all(Effect.Reply.class).size(), 0);
     assertEquals(reducer.open(), 0);
@@ -261,7 +261,7 @@
   /** Guards against a client that waits for less than our own lead, and is told at once that its time is over. */
   @Test
   public void oneWhoWaitsForVeryLittleIsNotLateFromTheStart() {
-    tell(new Event.Told(Router.ListKind.COMPLETE, List.of()));
+    tell(new Event.ServersListed(Router.ListKind.COMPLETE, List.of()));
     tell(new Event.Taken(new Request(1, null, 0, 80, false, Router.Terms.OF_CLASS, List.of(new Request.Slice(0, 1, 0)), null)));
     assertFalse(((Effect.Answer.Refused) answer(0)).ending().late());
   }
@@ -272,12 +272,12 @@
     ask(1, 0);
     String first = start(0).server();
     Router.Member drains = new Router.Member(first, 0, Integer.parseInt(first.substring(1)), Router.ServerState.DRAINING, 0);
-    tell(new Event.Told(Router.ListKind.CHANGES, List.of(drains)));
+    tell(new Event.ServersListed(Router.ListKind.CHANGES, List.of(drains)));
     assertEquals(all(Effect.Withdraw.class), List.of(new Effect.Withdraw(first)));
     tell(new Event.Ended(start(0).id(), Router.Outcome.MOOT, null));
     String second = start(1).server();
     assertFalse(second.equals(first));
-    tell(new Event.Told(Router.ListKind.COMPLETE, List.of(drains)));
+    tell(new Event.ServersListed(Router.ListKind.COMPLETE, List.of(drains)));
     assertEquals(all(Effect.Withdraw.class), List.of(new Effect.Withdraw(first), new Effect.Withdraw(second)));
   }
 
@@ -317,7 +317,7 @@
     begin(withLimits(settings(Settings.Effect.SAFE, 1), new Settings.Limits(4, 8, false, false, false, true, 500, 250)));
     ask(1, 0, 1);
     assertEquals(all(Effect.Start.class).size(), 2);
-    tell(new Event.Left(1));
+    tell(new Event.ClientLeft(1));
     assertEquals(all(Effect.TakeBack.class).stream().map(Effect.TakeBack::id).toList(),
         all(Effect.Start.class).stream().map(Effect.Start::id).toList());
     assertEquals(all(Effect.Abandon.class), List.of());
@@ -352,7 +352,7 @@
     effects.clear();
     reducer = new Reducer(settings, now,
         recorder -> failingAt(new bitternpulley.policy.Policy(settings, 7, now, recorder), call, calls));
-    tell(new Event.Told(Router.ListKind.REMEMBERED, IntStream.range(0, 4).mapToObj(
+    tell(new Event.ServersListed(Router.ListKind.REMEMBERED, IntStream.range(0, 4).mapToObj(
         i -> new Router.Member("s" + i, i % 2, i, Router.ServerState.LIVE, 0)).toList()));
     ask(1, 0, 1);
     ask(2, 2, 3);
