A connection's read buffer follows what comes, so that thousands of links fit the heap

Change: where the program connects, a read begins with 512 bytes, grows fourfold where one fills it, up to 8 KiB as before, and goes back where little comes. Accepted connections read as before. ConnectionTest.

--- a/src/main/java/bitternpulley/net/Connection.java
+++ b/src/main/java/bitternpulley/net/Connection.java
@@ -18,7 +18,11 @@
  */
 public final class Connection {
   private static final System.Logger LOG = System.getLogger(Connection.class.getName());
+  /** Bytes of a read at the most. */
   private static final int READ_BUFFER = 8 * 1024;
+  /** Bytes of a read at first where the program connects: several of a server's answers; and how that grows when one is full. */
+  private static final int LEAST_BUFFER = 512;
+  private static final int BUFFER_GROWTH = 4;
   /** Bytes that may wait to be written; a peer that reads so slowly is cut off. */
   private static final int MOST_WAITING = 1 << 20;
 
@@ -53,7 +57,9 @@
   private final AsynchronousByteChannel channel;
   private final Ending output;
   private final ArrayDeque<Pending> writes = new ArrayDeque<>();
-  private final ByteBuffer in = ByteBuffer.allocate(READ_BUFFER);
+  private ByteBuffer in;
+  /** The size that the read buffer goes back to when little comes. */
+  private final int leastBuffer;
   private Owner owner;
   private boolean writing;
   private boolean closing;
@@ -69,19 +75,26 @@
   private long written;
   private long dropped;
 
-  private Connection(EventLoop loop, AsynchronousByteChannel channel, Ending output) {
+  private Connection(EventLoop loop, AsynchronousByteChannel channel, Ending output, int leastBuffer) {
     this.loop = loop;
     this.channel = channel;
     this.output = output;
+    this.leastBuffer = leastBuffer;
+    in = ByteBuffer.allocate(leastBuffer);
   }
 
   /** A connection from a socket that was passed to the program. */
   Connection(EventLoop loop, SelectedChannel channel) {
-    this(loop, channel, channel::shutdownOutput);
+    this(loop, channel, channel::shutdownOutput, READ_BUFFER);
   }
 
+  /** An accepted connection, whose requests are read in as few pieces as may be. */
   Connection(EventLoop loop, AsynchronousSocketChannel channel) {
-    this(loop, channel, channel::shutdownOutput);
+    this(loop, channel, READ_BUFFER);
+  }
+
+  private Connection(EventLoop loop, AsynchronousSocketChannel channel, int leastBuffer) {
+    this(loop, channel, channel::shutdownOutput, leastBuffer);
     try {
       channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
     } catch (IOException e) {
@@ -93,7 +106,7 @@
   public static Connection open(EventLoop loop, HostPort to, double timeout, Owner owner, Runnable connected) {
     try {
       AsynchronousSocketChannel channel = AsynchronousSocketChannel.open(loop.group());
-      Connection made = new Connection(loop, channel);
+      Connection made = new Connection(loop, channel, LEAST_BUFFER);
       made.owner = owner;
       var alarm = loop.after(timeout, made::close);
       channel.connect(to.address(), null, handler(made, ignored -> {
@@ -155,6 +168,7 @@
         close();
       } else if (!closed && !dropping) {
         owner.received(in.flip());
+        resize(count);
       }
       reading = false;
       if (drops && !closed) {
@@ -165,6 +179,24 @@
     }));
   }
 
+  /**
+   * The next read's buffer follows what the last one brought. Guards against thousands of links to servers, nearly all of them
+   * idle, that each hold the memory of a busy one.
+   */
+  private void resize(int count) {
+    int size = in.capacity();
+    if (count == size && size < READ_BUFFER) {
+      in = ByteBuffer.allocate(Math.min(READ_BUFFER, size * BUFFER_GROWTH));
+    } else if (size > leastBuffer && count <= leastBuffer / 2) {
+      in = ByteBuffer.allocate(leastBuffer);
+    }
+  }
+
+  /** Bytes of the read buffer as it is now. */
+  int bufferSize() {
+    return in.capacity();
+  }
+
   /** Reads no more until our side has ended: for a peer that may end its own and still waits for an answer. */
   void pause() {
     paused = true;
--- a/src/test/java/bitternpulley/net/ConnectionTest.java
+++ b/src/test/java/bitternpulley/net/ConnectionTest.java
@@ -11,6 +11,7 @@
 import java.nio.ByteBuffer;
 import java.util.Arrays;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.Test;
 
@@ -71,6 +72,48 @@
     }
   }
 
+  /** Guards against thousands of idle links that each hold the memory of a busy one. */
+  @Test
+  public void theReadBufferFollowsWhatComes() throws Exception {
+    EventLoop loop = new EventLoop();
+    LinkedBlockingQueue<Integer> read = new LinkedBlockingQueue<>();
+    Connection.Owner counts = new Connection.Owner() {
+      @Override
+      public void received(ByteBuffer bytes) {
+        read.add(bytes.remaining());
+      }
+
+      @Override
+      public void closed() {
+        // as its peer ends it
+      }
+    };
+    try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+      Connection[] made = new Connection[1];
+      loop.execute(() -> made[0] = Connection.open(
+          loop, new HostPort("127.0.0.1", server.getLocalPort()), 5000, counts, () -> { }));
+      try (Socket peer = server.accept()) {
+        peer.getOutputStream().write(new byte[PIECE]);
+        await(read, PIECE);
+        int[] size = new int[1];
+        loop.inTurn(() -> size[0] = made[0].bufferSize());
+        assertTrue(size[0] > 512, "grown to " + size[0]);
+        peer.getOutputStream().write(new byte[10]);
+        await(read, 10);
+        loop.inTurn(() -> size[0] = made[0].bufferSize());
+        assertEquals(size[0], 512);
+      }
+    }
+  }
+
+  private static void await(LinkedBlockingQueue<Integer> read, int bytes) throws InterruptedException {
+    for (int left = bytes; left > 0;) {
+      Integer next = read.poll(PATIENCE_MS, TimeUnit.MILLISECONDS);
+      assertTrue(next != null, left + " bytes did not come");
+      left -= next;
+    }
+  }
+
   private static String read(Socket peer, int pieces) throws IOException {
     StringBuilder kinds = new StringBuilder();
     for (int i = 0; i < pieces; i++) {
