Membership: probes out of turn that are answered have a budget

Cause: somebody is suspect at any time, and each member asks each suspect for itself, which goes with the square of the members until every member checks without a pause. Change: probes out of turn that are answered are one an interval on the average, eight at once; those that fail are bounded by the time that they take and do not count, so that the dead are asked no later.

--- a/src/main/java/bitternpulley/membership/Prober.java
+++ b/src/main/java/bitternpulley/membership/Prober.java
@@ -17,6 +17,13 @@
 final class Prober {
   /** Each so many-th probe goes to one that is dead or was never heard of: a cut that heals is found out so. */
   private static final int LOST_EVERY = 4;
+  /**
+   * Probes out of turn that are answered, on the average of an interval and at once. Guards against a fleet of hundreds at a lossy
+   * network, in which somebody is suspect at any time and each member asks each suspect for itself: that goes with the square of the
+   * members. Those that fail do not count: they are bounded by the time that they take, and the dead are asked no later.
+   */
+  private static final double CHECKS_PER_INTERVAL = 1;
+  private static final double CHECKS_AT_ONCE = 8;
   /** Probes made for others at a time. */
   private static final int MOST_HELPING = 64;
 
@@ -48,6 +55,8 @@
   private int sequence;
   private int probes;
   private double nextProbe;
+  private double checksLeft = CHECKS_AT_ONCE;
+  private double checksCountedAt;
 
   Prober(int self, MembershipSettings terms, Table table, LocalHealth doubt, Random random, Heard heard, double now) {
     this.self = self;
@@ -57,6 +66,7 @@
     this.random = random;
     this.heard = heard;
     nextProbe = now + terms.interval() * random.nextDouble();
+    checksCountedAt = now;
   }
 
   void tick(double now, boolean leaving) {
@@ -75,11 +85,11 @@
     if (checking != null && goOn(checking, now)) {
       Probe failed = checking;
       checking = null;
+      checksLeft++;
       failed(failed, now);
     }
     if (checking == null && !leaving) {
-      Member next = checks.poll();
-      checking = next == null || !next.here() ? null : begin(next, now);
+      checking = nextCheck(now);
     }
     if (probe == null && now >= nextProbe && !leaving) {
       nextProbe = now + terms.interval() * doubt.pace();
@@ -87,6 +97,21 @@
     }
   }
 
+  /** The next probe out of turn, or null where none is wanted or the budget is spent; those that wait keep their places. */
+  private Probe nextCheck(double now) {
+    checksLeft = Math.min(CHECKS_AT_ONCE, checksLeft + CHECKS_PER_INTERVAL * (now - checksCountedAt) / terms.interval());
+    checksCountedAt = now;
+    if (checksLeft < 1) {
+      return null;
+    }
+    Member next = checks.poll();
+    if (next == null || !next.here()) {
+      return null;
+    }
+    checksLeft--;
+    return begin(next, now);
+  }
+
   /** This instance did not run: what it asked is not awaited, and what others asked of it is theirs no more. */
   void woke() {
     probe = null;
