Membership: a member whose epoch is behind is told what is recorded of it

Views of the aggregators differed for minutes: one held another under an epoch later than its own, ignored all its messages, and knew neither its name nor its zone.

Cause: the ACK that answers a message of an earlier epoch held the recorded entry only where the member was not recorded as alive. A sync page leaves the receiver's entry out and the dissemination queue forgets it after a few messages, so where those were lost nobody told the member, and LocalMember.refute was never reached.

Evidence: MembershipHealingTest in virtual time, without any corruption. A ping with an epoch 14 ms later reaches member 0, and nothing of 0 reaches its sender for 2, 6 or 20 s.

Change: every message to a member whose last message named an earlier epoch or incarnation than the recorded one starts with what is recorded, whatever its state, until the member has taken a later one.

--- a/src/main/java/bitternpulley/membership/Member.java
+++ b/src/main/java/bitternpulley/membership/Member.java
@@ -32,6 +32,7 @@
   private boolean isReachedIndirectly;
   private int consecutiveIndirectAcks;
   private boolean isReportedLeaving;
+  private boolean isBehindRecord;
   private double countingSince = Double.NEGATIVE_INFINITY;
   private int messagesCounted;
 
@@ -143,6 +144,20 @@
     lastEvidenceAt = now;
   }
 
+  /** Its own message named this process and incarnation as the current one. */
+  void recordOwnVersion(long reportedEpoch, int reportedIncarnation) {
+    isBehindRecord =
+        reportedEpoch != epoch ? reportedEpoch < epoch : reportedIncarnation < incarnation;
+  }
+
+  /**
+   * Whether it has to learn what is recorded here, since only the member itself can correct that:
+   * where it is not held to be alive, or its last message named an earlier process or incarnation.
+   */
+  boolean needsOwnRecord() {
+    return !isAlive() || isBehindRecord;
+  }
+
   /** It answered a probe; {@code ackSender} is itself or the relay that passed the ack on. */
   void recordAck(int ackSender, double now) {
     isReachedIndirectly = ackSender != number;
--- a/src/main/java/bitternpulley/membership/Membership.java
+++ b/src/main/java/bitternpulley/membership/Membership.java
@@ -196,9 +196,10 @@
       ignoredMessages++;
       return outbox.actions();
     }
+    sender.recordOwnVersion(message.epoch(), message.incarnation());
     if (message.epoch() < sender.epoch()) {
-      // A late message of an earlier process, or of one whose clock was set back, which learns from
-      // the answer that it needs a later epoch.
+      // A late message of an earlier process, or of one that needs a later epoch: its clock was set
+      // back, or the recorded epoch is wrong. The answer contains what is recorded.
       ignoredMessages++;
       outbox.send(sender.number(), Kind.ACK, 0, sender.number());
       return outbox.actions();
--- a/src/main/java/bitternpulley/membership/MessageComposer.java
+++ b/src/main/java/bitternpulley/membership/MessageComposer.java
@@ -43,8 +43,8 @@
     isPayloadTurn = !isPayloadTurn;
     Member member = table.find(receiver);
     List<GossipUpdate> updates;
-    if (member != null && !member.isAlive()) {
-      // A member that is not held to be alive learns so first, in order that it can refute.
+    if (member != null && member.needsOwnRecord()) {
+      // It learns first what it has to refute.
       updates =
           states.takeAfter(
               member.update(local.number()),
--- /dev/null
+++ b/src/test/java/bitternpulley/membership/MembershipHealingTest.java
@@ -0,0 +1,64 @@
+package bitternpulley.membership;
+
+import static bitternpulley.membership.MembershipScenarios.settledCluster;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.stream.IntStream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Wrong values of a member that another one has accepted, in virtual time by seed. */
+class MembershipHealingTest {
+  private static final int SEEDS = 3;
+  private static final int HOLDER = 0;
+  private static final int SUBJECT = 1;
+
+  /** Ms by which an accepted epoch is later than the subject's own. */
+  private static final int EPOCH_LEAD_MS = 14;
+
+  /** Every member probes every other within a round; one more for the answer to be disseminated. */
+  private static double twoRounds(SimulatedCluster cluster) {
+    return 2 * cluster.size() * MembershipSettings.DEFAULT.interval() + 5000;
+  }
+
+  /** Regression: the subject never learned of a later epoch that another member had accepted. */
+  @ParameterizedTest
+  @CsvSource({"3,2", "3,6", "3,20", "5,2", "5,6", "5,20", "20,2", "20,6", "20,20"})
+  void aWrongLaterEpochHealsOnceTheSubjectCanBeReached(int size, int cutSeconds) {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      SimulatedCluster cluster = settledCluster(size, seed);
+      cluster.cut(HOLDER, SUBJECT);
+      long wrongEpoch = cluster.member(SUBJECT).epoch() + EPOCH_LEAD_MS;
+      cluster.deliver(SUBJECT, HOLDER, GossipMessages.ping(SUBJECT, wrongEpoch, 1));
+      cluster.run(cutSeconds * 1000.0);
+      cluster.healAll();
+      cluster.runUntil(
+          twoRounds(cluster), "views equal", () -> cluster.viewsEqual() && cluster.allAlive());
+    }
+  }
+
+  /** A restart that is not noticed otherwise, with an epoch before that of the earlier process. */
+  @ParameterizedTest
+  @ValueSource(ints = {3, 5, 20})
+  void aQuickRestartWithTheClockSetBackIsAccepted(int size) {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      SimulatedCluster cluster = settledCluster(size, seed);
+      cluster.kill(SUBJECT);
+      cluster.setClockOffset(SUBJECT, -3_600_000);
+      cluster.start(SUBJECT);
+      cluster.runUntil(
+          twoRounds(cluster), "views equal", () -> cluster.viewsEqual() && cluster.allAlive());
+      assertEquals(
+          1,
+          IntStream.range(0, size)
+              .mapToLong(number -> epochAt(cluster, number))
+              .distinct()
+              .count());
+    }
+  }
+
+  private static long epochAt(SimulatedCluster cluster, int observer) {
+    return cluster.member(observer).members().get(SUBJECT).epoch();
+  }
+}
