Membership: warn once of a member whose messages are all ignored

While an instance ignored a member's messages for minutes, as it had recorded a later epoch, no log told an on-call engineer.

MembershipHealingTest.warnsOnceOfAMemberWhoseMessagesAreIgnored cuts one direction for a minute and expects exactly one.

--- a/src/main/java/bitternpulley/broker/ClusterState.java
+++ b/src/main/java/bitternpulley/broker/ClusterState.java
@@ -86,6 +86,8 @@
     for (MembershipAction action : actions) {
       if (action instanceof MembershipAction.Send send) {
         context.emit(new Effect.SendGossip(send.to(), send.message()));
+      } else if (action instanceof MembershipAction.MemberIgnored ignored) {
+        context.emit(new Effect.WarnOfIgnoredMember(ignored));
       } else if (!(action instanceof MembershipAction.PayloadReceived)) {
         context.emit(new Effect.Log(action.toString()));
       }
--- a/src/main/java/bitternpulley/broker/Effect.java
+++ b/src/main/java/bitternpulley/broker/Effect.java
@@ -4,6 +4,7 @@
 import bitternpulley.contracts.UsageCharge;
 import bitternpulley.leases.LeaseMessage;
 import bitternpulley.membership.GossipMessage;
+import bitternpulley.membership.MembershipAction;
 import bitternpulley.routing.Router;
 import java.util.List;
 import java.util.Map;
@@ -155,6 +156,14 @@
     }
   }
 
+  /** Warn operators that all messages of another aggregator are ignored. */
+  record WarnOfIgnoredMember(MembershipAction.MemberIgnored member) implements Effect {
+    @Override
+    public void dispatch(EffectHandler handler) {
+      handler.onWarnOfIgnoredMember(this);
+    }
+  }
+
   /** Write a log line. */
   record Log(String text) implements Effect {
     @Override
--- a/src/main/java/bitternpulley/broker/EffectHandler.java
+++ b/src/main/java/bitternpulley/broker/EffectHandler.java
@@ -47,6 +47,9 @@
   /** Sends a lease message. */
   void onSendLeaseMessage(Effect.SendLeaseMessage effect);
 
+  /** Warns operators of a member whose messages are ignored. */
+  void onWarnOfIgnoredMember(Effect.WarnOfIgnoredMember effect);
+
   /** Writes a log line. */
   void onLog(Effect.Log effect);
 }
--- a/src/main/java/bitternpulley/broker/EffectPerformer.java
+++ b/src/main/java/bitternpulley/broker/EffectPerformer.java
@@ -1,5 +1,6 @@
 package bitternpulley.broker;
 
+import bitternpulley.membership.MembershipAction;
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
 import java.util.List;
@@ -114,6 +115,19 @@
     gossipTransport.send(effect);
   }
 
+  @Override
+  public void onWarnOfIgnoredMember(Effect.WarnOfIgnoredMember effect) {
+    MembershipAction.MemberIgnored member = effect.member();
+    LOG.log(
+        Level.WARNING,
+        "Ignoring all messages of member "
+            + member.number()
+            + ", which name epoch "
+            + member.reportedEpoch()
+            + ", as it is recorded with the later epoch "
+            + member.recordedEpoch());
+  }
+
   @Override
   public void onLog(Effect.Log effect) {
     LOG.log(Level.INFO, effect.text());
--- a/src/main/java/bitternpulley/membership/Member.java
+++ b/src/main/java/bitternpulley/membership/Member.java
@@ -14,6 +14,9 @@
    */
   private static final int UNREACHABLE_AFTER = 3;
 
+  /** Intervals for which all its messages are ignored before operators are warned. */
+  private static final int IGNORED_WARNING_INTERVALS = 5;
+
   private static final int NO_CLAIMANT = -1;
 
   private final int number;
@@ -33,6 +36,8 @@
   private int consecutiveIndirectAcks;
   private boolean isReportedLeaving;
   private boolean isBehindRecord;
+  private double ignoredSince = Double.POSITIVE_INFINITY;
+  private boolean isIgnoredReported;
   private double countingSince = Double.NEGATIVE_INFINITY;
   private int messagesCounted;
 
@@ -150,6 +155,24 @@
         reportedEpoch != epoch ? reportedEpoch < epoch : reportedIncarnation < incarnation;
   }
 
+  /** Its message was used. */
+  void recordAccepted() {
+    ignoredSince = Double.POSITIVE_INFINITY;
+    isIgnoredReported = false;
+  }
+
+  /**
+   * Its message was ignored, since it is of an earlier process; whether operators are to be warned,
+   * which is once until another of its messages is used.
+   */
+  boolean recordIgnored(double now, double interval) {
+    ignoredSince = Math.min(ignoredSince, now);
+    boolean isDue =
+        !isIgnoredReported && now - ignoredSince >= IGNORED_WARNING_INTERVALS * interval;
+    isIgnoredReported |= isDue;
+    return isDue;
+  }
+
   /**
    * Whether it has to learn what is recorded here, since only the member itself can correct that:
    * where it is not held to be alive, or its last message named an earlier process or incarnation.
--- a/src/main/java/bitternpulley/membership/Membership.java
+++ b/src/main/java/bitternpulley/membership/Membership.java
@@ -201,9 +201,14 @@
       // A late message of an earlier process, or of one that needs a later epoch: its clock was set
       // back, or the recorded epoch is wrong. The answer contains what is recorded.
       ignoredMessages++;
+      if (sender.recordIgnored(now, settings.interval())) {
+        outbox.add(
+            new MembershipAction.MemberIgnored(sender.number(), sender.epoch(), message.epoch()));
+      }
       outbox.send(sender.number(), Kind.ACK, 0, sender.number());
       return outbox.actions();
     }
+    sender.recordAccepted();
     recordSender(sender, message);
     message.updates().stream()
         .limit(GossipMessage.MAX_UPDATES)
--- a/src/main/java/bitternpulley/membership/MembershipAction.java
+++ b/src/main/java/bitternpulley/membership/MembershipAction.java
@@ -57,6 +57,16 @@
     }
   }
 
+  /**
+   * All messages of a member have been ignored for some intervals.
+   *
+   * @param number the member
+   * @param recordedEpoch start of its process as recorded here
+   * @param reportedEpoch start of its process as its messages have it, which is earlier
+   */
+  record MemberIgnored(int number, long recordedEpoch, long reportedEpoch)
+      implements MembershipAction {}
+
   /**
    * This instance resumed after a pause and withholds verdicts until it had time to receive again.
    *
--- a/src/test/java/bitternpulley/membership/MembershipHealingTest.java
+++ b/src/test/java/bitternpulley/membership/MembershipHealingTest.java
@@ -3,7 +3,9 @@
 import static bitternpulley.membership.MembershipScenarios.settledCluster;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.util.List;
 import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -38,6 +40,19 @@
     }
   }
 
+  /** Regression: nothing was logged while a member was ignored for minutes. */
+  @Test
+  void warnsOnceOfAMemberWhoseMessagesAreIgnored() {
+    SimulatedCluster cluster = settledCluster(5, 1);
+    cluster.cut(HOLDER, SUBJECT);
+    long epoch = cluster.member(SUBJECT).epoch();
+    cluster.deliver(SUBJECT, HOLDER, GossipMessages.ping(SUBJECT, epoch + EPOCH_LEAD_MS, 1));
+    cluster.run(60_000);
+    assertEquals(
+        List.of(new MembershipAction.MemberIgnored(SUBJECT, epoch + EPOCH_LEAD_MS, epoch)),
+        cluster.warnings());
+  }
+
   /** A restart that is not noticed otherwise, with an epoch before that of the earlier process. */
   @ParameterizedTest
   @ValueSource(ints = {3, 5, 20})
--- a/src/test/java/bitternpulley/membership/SimulatedCluster.java
+++ b/src/test/java/bitternpulley/membership/SimulatedCluster.java
@@ -84,6 +84,7 @@
       new PriorityQueue<>(
           Comparator.comparingDouble(ScheduledTask::at).thenComparingLong(ScheduledTask::order));
   private final List<StateChange> stateChanges = new ArrayList<>();
+  private final List<MembershipAction.MemberIgnored> warnings = new ArrayList<>();
   private NetworkConditions network = NetworkConditions.NORMAL;
   private Consumer<GossipMessage> messageObserver = message -> {};
   private long sentMessages;
@@ -142,6 +143,11 @@
     return stateChanges;
   }
 
+  /** All warnings of ignored members so far. */
+  List<MembershipAction.MemberIgnored> warnings() {
+    return warnings;
+  }
+
   void clearStateChanges() {
     stateChanges.clear();
   }
@@ -196,6 +202,8 @@
       } else if (action instanceof MembershipAction.StateChanged change) {
         stateChanges.add(
             new StateChange(number, change.number(), change.before(), change.now(), now));
+      } else if (action instanceof MembershipAction.MemberIgnored warning) {
+        warnings.add(warning);
       }
     }
   }
--- a/src/test/java/bitternpulley/trace/EffectLines.java
+++ b/src/test/java/bitternpulley/trace/EffectLines.java
@@ -11,6 +11,7 @@
 import bitternpulley.membership.GossipUpdate;
 import bitternpulley.membership.MemberMetadata;
 import bitternpulley.membership.MemberPayload;
+import bitternpulley.membership.MembershipAction;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
@@ -142,6 +143,12 @@
     line("lease", effect.to(), lease(effect.message()));
   }
 
+  @Override
+  public void onWarnOfIgnoredMember(Effect.WarnOfIgnoredMember effect) {
+    MembershipAction.MemberIgnored member = effect.member();
+    line("ignored", member.number(), member.recordedEpoch(), member.reportedEpoch());
+  }
+
   @Override
   public void onLog(Effect.Log effect) {
     line("log");
