Gossip: a checksum over each datagram, of both kinds; what fails it is dropped

Cause: a changed byte in a datagram was read as another value; nothing detected it.

Change: the last element of each datagram is the CRC-32C of all bytes before it. Datagrams that fail it are dropped and counted, 'corrupted' in the members report. Builds before read no element behind those that they know, and their datagrams are accepted as before, which DatagramBytesTest holds byte for byte against the earlier recordings, now in datagrams-without-checksum.txt. The bytes of each datagram change on purpose: one element more in the header, five bytes at the end.

Two bytes less of a message are left for updates, so 103 in place of 104 for payloads where they have half.

--- a/src/main/java/bitternpulley/admin/MembersReport.java
+++ b/src/main/java/bitternpulley/admin/MembersReport.java
@@ -24,6 +24,7 @@
               "view", String.format(Locale.ROOT, "%08x", membership.viewDigest()));
           json.writeNumberField("self_health", membership.localHealth());
           json.writeNumberField("ignored", membership.ignoredMessages());
+          json.writeNumberField("corrupted", broker.corruptedDatagrams());
           if (leases.isPresent()) {
             writeLeases(json, leases.get().status(broker.now()));
           }
--- a/src/main/java/bitternpulley/broker/Broker.java
+++ b/src/main/java/bitternpulley/broker/Broker.java
@@ -60,6 +60,11 @@
     return reducer.leases();
   }
 
+  /** Number of datagrams of other aggregators so far that were dropped for their checksum. */
+  public long corruptedDatagrams() {
+    return performer.corruptedDatagrams();
+  }
+
   /** Returns a new id for a request. */
   public long nextId() {
     return ++lastId;
--- a/src/main/java/bitternpulley/broker/EffectPerformer.java
+++ b/src/main/java/bitternpulley/broker/EffectPerformer.java
@@ -40,6 +40,11 @@
     gossipTransport = transport;
   }
 
+  /** Number of datagrams dropped for their checksum; 0 without a transport. */
+  long corruptedDatagrams() {
+    return gossipTransport == null ? 0 : gossipTransport.corruptedDatagrams();
+  }
+
   @Override
   public void onStartAttempt(Effect.StartAttempt effect) {
     effect.request().dialect().start(effect);
--- a/src/main/java/bitternpulley/gossip/DatagramException.java
+++ b/src/main/java/bitternpulley/gossip/DatagramException.java
@@ -4,7 +4,7 @@
 
 /** A received datagram cannot be used; the message says why. */
 abstract sealed class DatagramException extends IOException
-    permits ForeignDatagramException, MalformedDatagramException {
+    permits CorruptedDatagramException, ForeignDatagramException, MalformedDatagramException {
   private static final long serialVersionUID = 1;
 
   DatagramException(String defect) {
--- a/src/main/java/bitternpulley/gossip/DatagramReader.java
+++ b/src/main/java/bitternpulley/gossip/DatagramReader.java
@@ -51,6 +51,35 @@
     return (int) value;
   }
 
+  /**
+   * Reads up to the end of the datagram, past elements of later versions.
+   *
+   * @param length length of the datagram in bytes
+   * @param checksumBytes length of a checksum
+   * @return whether the last element is a checksum; false where nothing more was in the datagram
+   */
+  boolean readEnd(int length, int checksumBytes) throws IOException {
+    boolean isChecksum = false;
+    boolean isEmpty = true;
+    for (JsonToken token = next(); token != JsonToken.END_ARRAY; token = next()) {
+      if (token == null) {
+        throw new MalformedDatagramException("incomplete");
+      }
+      isChecksum =
+          token == JsonToken.VALUE_EMBEDDED_OBJECT
+              && parser.getBinaryValue().length == checksumBytes;
+      isEmpty = false;
+      parser.skipChildren();
+    }
+    if (parser.currentLocation().getByteOffset() != length) {
+      throw new MalformedDatagramException("bytes behind its end");
+    }
+    if (!isChecksum && !isEmpty) {
+      throw new MalformedDatagramException("no checksum behind its elements");
+    }
+    return isChecksum;
+  }
+
   byte[] readBytes() throws IOException {
     if (parser.nextToken() != JsonToken.VALUE_EMBEDDED_OBJECT) {
       throw new MalformedDatagramException("expected a byte string");
--- a/src/main/java/bitternpulley/gossip/GossipCodec.java
+++ b/src/main/java/bitternpulley/gossip/GossipCodec.java
@@ -29,6 +29,9 @@
  * and states. Lease messages have kinds of their own: {@code [version, deployment, 16, from, epoch,
  * sequence]} is a request, {@code [version, deployment, 17, from, sequence, delay in ms, holders as
  * bits]} a grant. Elements that a later version appends are not read.
+ *
+ * <p>The last element of each array is a {@link DatagramChecksum}. Builds before it send none and
+ * do not read it: an array with no element behind those above is accepted without.
  */
 final class GossipCodec {
   /** The longest datagram that the platform carries. */
@@ -43,6 +46,7 @@
   private static final int UPDATE_ELEMENTS = 5;
   private static final int METADATA_ELEMENTS = 4;
   private static final int PAYLOAD_ELEMENTS = 2;
+  private static final int CHECKSUM_ELEMENTS = 1;
 
   private static final CBORFactory CBOR = new CBORFactory();
 
@@ -120,12 +124,13 @@
   private byte[] encode(int elements, int kind, int from, Body body) {
     ByteArrayOutputStream bytes = new ByteArrayOutputStream(MAX_DATAGRAM_BYTES);
     try (JsonGenerator out = CBOR.createGenerator(bytes)) {
-      out.writeStartArray(null, elements);
+      out.writeStartArray(null, elements + CHECKSUM_ELEMENTS);
       out.writeNumber(VERSION);
       out.writeNumber(deployment);
       out.writeNumber(kind);
       out.writeNumber(from);
       body.write(out);
+      out.writeBinary(new byte[DatagramChecksum.BYTES]);
       out.writeEndArray();
     } catch (IOException failure) {
       throw new UncheckedIOException(failure);
@@ -134,7 +139,9 @@
       throw new IllegalStateException(
           "datagram of " + bytes.size() + " bytes exceeds " + MAX_DATAGRAM_BYTES);
     }
-    return bytes.toByteArray();
+    byte[] datagram = bytes.toByteArray();
+    DatagramChecksum.seal(datagram);
+    return datagram;
   }
 
   private static void writeUpdate(JsonGenerator out, GossipUpdate update) throws IOException {
@@ -167,6 +174,7 @@
    * Decodes a datagram.
    *
    * @throws ForeignDatagramException for another deployment or version
+   * @throws CorruptedDatagramException for a checksum that does not match
    * @throws MalformedDatagramException for anything that is no message
    */
   Datagram decode(byte[] bytes, int length) throws DatagramException {
@@ -174,7 +182,12 @@
       throw new MalformedDatagramException("longer than " + MAX_DATAGRAM_BYTES + " bytes");
     }
     try (JsonParser parser = CBOR.createParser(bytes, 0, length)) {
-      return decode(new DatagramReader(parser));
+      DatagramReader in = new DatagramReader(parser);
+      Datagram datagram = decode(in);
+      if (in.readEnd(length, DatagramChecksum.BYTES) && !DatagramChecksum.isValid(bytes, length)) {
+        throw new CorruptedDatagramException();
+      }
+      return datagram;
     } catch (DatagramException failure) {
       throw failure;
     } catch (IOException failure) {
--- a/src/main/java/bitternpulley/gossip/GossipService.java
+++ b/src/main/java/bitternpulley/gossip/GossipService.java
@@ -48,6 +48,7 @@
   private DatagramLink link;
   private boolean hasLeft;
   private long ignoredDatagrams;
+  private long corruptedDatagrams;
 
   /**
    * A service that does not run yet.
@@ -148,6 +149,11 @@
     }
   }
 
+  @Override
+  public long corruptedDatagrams() {
+    return corruptedDatagrams;
+  }
+
   @Override
   public void send(Effect.SendGossip effect) {
     send(effect.to(), codec.encode(effect.message()));
@@ -168,6 +174,10 @@
     GossipCodec.Datagram datagram;
     try {
       datagram = codec.decode(bytes, length);
+    } catch (CorruptedDatagramException failure) {
+      corruptedDatagrams++;
+      ignore(from, failure.getMessage());
+      return;
     } catch (DatagramException failure) {
       ignore(from, failure.getMessage());
       return;
--- a/src/main/java/bitternpulley/membership/GossipMessage.java
+++ b/src/main/java/bitternpulley/membership/GossipMessage.java
@@ -31,7 +31,7 @@
   public static final int MAX_UPDATES = 8;
 
   private static final int DATAGRAM_BYTES = 256;
-  private static final int MAX_HEADER_BYTES = 47;
+  private static final int MAX_HEADER_BYTES = 49;
 
   /** Bytes of a datagram that are left for updates. */
   static final int UPDATE_BYTES = DATAGRAM_BYTES - MAX_HEADER_BYTES;
--- a/src/test/java/bitternpulley/gossip/DatagramBytesTest.java
+++ b/src/test/java/bitternpulley/gossip/DatagramBytesTest.java
@@ -1,5 +1,6 @@
 package bitternpulley.gossip;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import bitternpulley.broker.Event;
@@ -13,6 +14,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.BitSet;
 import java.util.HexFormat;
 import java.util.List;
@@ -25,6 +27,12 @@
 class DatagramBytesTest {
   private static final Path RECORDED = Path.of("src/test/resources/edges/datagrams.txt");
 
+  private static final Path RECORDED_WITHOUT_CHECKSUM =
+      Path.of("src/test/resources/edges/datagrams-without-checksum.txt");
+
+  /** The checksum with the header of its byte string. */
+  private static final int CHECKSUM_BYTES = 5;
+
   private static List<GossipMessage> gossip() {
     List<GossipMessage> messages = new ArrayList<>();
     List<GossipMessage.Kind> kinds = List.of(GossipMessage.Kind.values());
@@ -67,6 +75,44 @@
         new LeaseMessage.LeaseGrant(4, 18, 0, new BitSet()));
   }
 
+  private static List<String> lines(Path file) throws IOException {
+    return Files.readString(file).trim().lines().toList();
+  }
+
+  private static byte[] bytesOf(String line) {
+    return HexFormat.of().parseHex(line.substring(line.indexOf(' ') + 1));
+  }
+
+  /** An upgrade: builds before the checksum read no element behind those that they know. */
+  @Test
+  void areThoseOfEarlierBuildsWithAChecksumAsOneElementMore() throws IOException {
+    List<String> now = lines(RECORDED);
+    List<String> before = lines(RECORDED_WITHOUT_CHECKSUM);
+    assertEquals(before.size(), now.size());
+    for (int index = 0; index < now.size(); index++) {
+      byte[] expected = bytesOf(before.get(index));
+      expected[0]++; // the array's header, with its number of elements
+      byte[] datagram = bytesOf(now.get(index));
+      assertArrayEquals(expected, Arrays.copyOf(datagram, datagram.length - CHECKSUM_BYTES));
+    }
+  }
+
+  /** An upgrade: datagrams of builds before the checksum are accepted. */
+  @Test
+  void thoseOfEarlierBuildsAreReadAsBefore() throws IOException {
+    GossipCodec codec = new GossipCodec("lahore-booking");
+    List<Event> expected = new ArrayList<>();
+    gossip().forEach(message -> expected.add(new Event.GossipReceived(message)));
+    leases().forEach(message -> expected.add(new Event.LeaseMessageReceived(message)));
+    List<Event> decoded = new ArrayList<>();
+    for (String line : lines(RECORDED_WITHOUT_CHECKSUM)) {
+      byte[] bytes = bytesOf(line);
+      decoded.add(codec.decode(bytes, bytes.length).event());
+    }
+    assertEquals(expected.subList(0, gossip().size()), decoded.subList(0, gossip().size()));
+    assertEquals(expected.size(), decoded.size());
+  }
+
   @Test
   void areEncodedAsRecordedAndReadBack() throws IOException {
     GossipCodec codec = new GossipCodec("lahore-booking");
