Event loop: what is read after the backlog of a stop no longer counts as unread in it

Callers got 429 for queries with all their time left, for as long after a stop of the process as the stop had lasted, and for the first 0.6 s after a start. SeveralProcessesTest#aQueryThatNobodyHoldsIsRefusedAtOnce saw it now and then beside load.

Cause: EventLoopLag took all bytes read within the length of a late turn after it to have arrived before it, and merged two stops into one. The unread time is taken off the latency objective.

Change: after a late turn, markers through the channel group tell when the backlog has been read, which ends the gap; some 10 ms in place of the length of the stop.

--- a/src/main/java/bitternpulley/net/AcceptLoop.java
+++ b/src/main/java/bitternpulley/net/AcceptLoop.java
@@ -56,6 +56,7 @@
   private void accepted(Connection connection) {
     accepting = false;
     lastAcceptedAt = loop.now();
+    loop.connectionAccepted();
     onAccepted.accept(connection);
     acceptNext();
   }
--- a/src/main/java/bitternpulley/net/EventLoop.java
+++ b/src/main/java/bitternpulley/net/EventLoop.java
@@ -41,6 +41,7 @@
   private final ScheduledThreadPoolExecutor timers =
       new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "alarms"));
   private final AsynchronousChannelGroup group;
+  private final BacklogBarrier backlog;
 
   /** Creates a loop that takes the time from the JVM's monotonic clock. */
   public EventLoop() {
@@ -56,6 +57,7 @@
     } catch (IOException exception) {
       throw new UncheckedIOException(exception);
     }
+    backlog = new BacklogBarrier(this, group, lag::backlogRead);
   }
 
   AsynchronousChannelGroup group() {
@@ -78,6 +80,11 @@
     return lag.unreadMs(now());
   }
 
+  /** Records that a connection was accepted, behind which others may wait. */
+  void connectionAccepted() {
+    backlog.connectionAccepted();
+  }
+
   /** Returns the worst lag of a turn in the last seconds, in ms. */
   double worstLagMs() {
     return lag.worstLagMs(now());
@@ -135,8 +142,8 @@
   void inTurn(Runnable task) {
     turnLock.lock();
     try {
-      if (isInOutermostTurn()) {
-        lag.turnStarted(now());
+      if (isInOutermostTurn() && lag.turnStarted(now())) {
+        backlog.restart();
       }
       runLoggingErrors(task);
       while (isInOutermostTurn() && !deferredTasks.isEmpty()) {
--- a/src/main/java/bitternpulley/net/EventLoopLag.java
+++ b/src/main/java/bitternpulley/net/EventLoopLag.java
@@ -42,13 +42,17 @@
     nextTickDue = now + TICK_INTERVAL_MS;
   }
 
-  /** Records the start of a turn: what arrived before the previous turn was seen by then. */
-  void turnStarted(double now) {
-    if (now > nextTickDue + TICK_TOLERANCE_MS) {
+  /**
+   * Records the start of a turn: what arrived before the previous turn was seen by then. Returns
+   * whether it is late, so that there may be a backlog of unread bytes.
+   */
+  boolean turnStarted(double now) {
+    boolean isLate = now > nextTickDue + TICK_TOLERANCE_MS;
+    if (isLate) {
       double lag = now - lastTurnAt;
       if (now > gapReadUntil || lag >= gapMs) {
         // The backlog of a gap is read one socket at a time, which takes at most as long as the
-        // gap itself.
+        // gap itself, unless it is known to be read earlier.
         gapStart = now > gapReadUntil ? lastTurnAt : Math.min(gapStart, lastTurnAt);
         gapMs = lag;
         gapReadUntil = now + lag;
@@ -57,6 +61,12 @@
       worst = Math.max(worst, lag);
     }
     lastTurnAt = now;
+    return isLate;
+  }
+
+  /** Records that all has been read that arrived before the last late turn. */
+  void backlogRead() {
+    gapReadUntil = Double.NEGATIVE_INFINITY;
   }
 
   /**
--- a/src/test/java/bitternpulley/net/EventLoopLagTest.java
+++ b/src/test/java/bitternpulley/net/EventLoopLagTest.java
@@ -56,6 +56,29 @@
     assertEquals(lag.worstLagMs(20_000), 0.0, "out of the window");
   }
 
+  @Test
+  public void countsNothingAsUnreadOnceTheBacklogOfAPauseIsRead() {
+    runOnTime(0, 1000);
+    assertTrue(lag.turnStarted(1700), "a late turn leaves a backlog");
+    lag.tick(1700);
+    assertEquals(lag.unreadMs(1702), 702.0);
+    lag.backlogRead();
+    assertEquals(lag.unreadMs(1710), 0.0);
+    assertEquals(lag.worstLagMs(1710), 700.0);
+  }
+
+  /** Regression: the second of two pauses counted from the start of the first. */
+  @Test
+  public void countsTheSecondPauseFromItsOwnStart() {
+    runOnTime(0, 1000);
+    lag.turnStarted(1400);
+    lag.tick(1400);
+    lag.backlogRead();
+    runOnTime(1400, 1450);
+    lag.turnStarted(1700);
+    assertEquals(lag.unreadMs(1700), 250.0);
+  }
+
   /** A long turn, as before the JIT has compiled it, hides what arrives just as a pause does. */
   @Test
   public void countsALongTurnFromItsStart() {
--- /dev/null
+++ b/src/test/java/bitternpulley/process/PausedProcessTest.java
@@ -0,0 +1,129 @@
+package bitternpulley.process;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import bitternpulley.emulator.Fleet;
+import bitternpulley.faultinjection.Node;
+import bitternpulley.faultinjection.Ports;
+import bitternpulley.net.EventLoop;
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** A process that is stopped for a while, as by a collector, with clients and servers beside it. */
+public class PausedProcessTest {
+  private static final int CELLS = 6;
+  private static final int MAX_PENDING = 200;
+  private static final int SECTION = 2;
+  private static final int WARMUP_QUERIES = 30;
+  private static final long STOP_MS = 700;
+
+  /** Long after what arrived during a stop has been read, long before another stop has passed. */
+  private static final long AFTER_STOP_MS = 200;
+
+  private Fleet fleet;
+  private Node node;
+  private int lastId;
+
+  @BeforeMethod
+  public void start() throws Exception {
+    fleet = new Fleet(new EventLoop(), CELLS, 2);
+    String listen = "127.0.0.1:" + Ports.free();
+    node = new Node("n0", fleet.configuration(0, 1, listen, MAX_PENDING), null).start();
+    node.awaitReady();
+    for (int i = 0; i < WARMUP_QUERIES; i++) {
+      statusOf(send(1.4, i % CELLS));
+    }
+  }
+
+  @AfterMethod(alwaysRun = true)
+  public void stop() throws IOException {
+    node.close();
+    assertEquals(fleet.rules().breaches(), List.of());
+  }
+
+  private Socket send(double timeoutSeconds, int section) throws IOException {
+    Socket socket = Deployment.connect(node.front().toString());
+    String query = Deployment.query("slot-search", "paused-" + lastId++, timeoutSeconds, section);
+    socket.getOutputStream().write(query.getBytes());
+    return socket;
+  }
+
+  private static int statusOf(Socket client) throws IOException {
+    try (Socket socket = client) {
+      return Deployment.reply(socket).status();
+    }
+  }
+
+  private static List<Integer> statusesOf(List<Socket> clients) throws IOException {
+    List<Integer> statuses = new ArrayList<>();
+    for (Socket client : clients) {
+      statuses.add(statusOf(client));
+    }
+    return statuses;
+  }
+
+  /** Sends queries at short intervals, some time after the process goes on. */
+  private List<Socket> sendAfterStop() throws Exception {
+    TimeUnit.MILLISECONDS.sleep(AFTER_STOP_MS);
+    List<Socket> clients = new ArrayList<>();
+    for (int i = 0; i < 20; i++) {
+      clients.add(send(1.4, SECTION));
+      TimeUnit.MILLISECONDS.sleep(5);
+    }
+    return clients;
+  }
+
+  /** Regression: all that came for as long again as a stop had lasted was rejected as too late. */
+  @Test
+  public void queriesSentAfterAStopAreServed() throws Exception {
+    for (int round = 0; round < 3; round++) {
+      node.pause();
+      TimeUnit.MILLISECONDS.sleep(STOP_MS);
+      node.resume();
+      assertEquals(statusesOf(sendAfterStop()), Collections.nCopies(20, 200), "round " + round);
+    }
+  }
+
+  /** Regression: a stop soon after a longer one counted from the start of the first. */
+  @Test
+  public void aSecondStopCountsFromItsOwnStart() throws Exception {
+    node.pause();
+    TimeUnit.MILLISECONDS.sleep(450);
+    node.resume();
+    TimeUnit.MILLISECONDS.sleep(100);
+    node.pause();
+    Socket client = send(1.4, SECTION);
+    TimeUnit.MILLISECONDS.sleep(150);
+    node.resume();
+    assertEquals(statusOf(client), 200);
+  }
+
+  /**
+   * The connections wait in the backlog, and their servers do not answer. If the stop did not count
+   * as time in which the queries lay unread, their answers would come as much later.
+   */
+  @Test
+  public void connectionsMadeDuringAStopAreAnsweredInTheirTime() throws Exception {
+    double timeoutMs = 1300;
+    fleet.servers().forEach(server -> server.silent(true));
+    node.pause();
+    double sentAt = System.nanoTime() / 1e6;
+    List<Socket> clients = new ArrayList<>();
+    for (int i = 0; i < 60; i++) {
+      clients.add(send(timeoutMs / 1000, i % CELLS));
+    }
+    TimeUnit.MILLISECONDS.sleep(STOP_MS);
+    node.resume();
+    statusesOf(clients);
+    double elapsed = System.nanoTime() / 1e6 - sentAt;
+    assertTrue(elapsed <= timeoutMs + STOP_MS / 2.0, elapsed + " ms");
+  }
+}
