Membership: a member's own report corrects its metadata

An aggregator showed another in a wrong zone until that one restarted.

Cause: the first report of a process's metadata counted, from whomever, and nothing replaced it.

Change: what a member reports of itself replaces what others reported; reports of others only fill in what is unknown. A correction is logged.

--- a/src/main/java/bitternpulley/membership/Member.java
+++ b/src/main/java/bitternpulley/membership/Member.java
@@ -220,7 +220,7 @@
 
   /**
    * Takes over a newer process or incarnation that is alive. Payload and reachability belong to a
-   * process and do not survive its restart; metadata is kept where the update has none.
+   * process and do not survive its restart; metadata is kept where it is known.
    */
   void renew(GossipUpdate update) {
     if (update.epoch() != epoch) {
@@ -229,9 +229,7 @@
       consecutiveIndirectAcks = 0;
     }
     adoptVersion(update);
-    if (update.metadata() != null) {
-      metadata = update.metadata();
-    }
+    learnMetadata(update);
     lastProbeFailureAt = Double.NEGATIVE_INFINITY;
   }
 
@@ -242,6 +240,19 @@
     }
   }
 
+  /**
+   * Takes the metadata of an update that the member itself sent, which replaces what others
+   * reported; whether it differed from what was known.
+   */
+  boolean correctMetadata(GossipUpdate update) {
+    if (update.epoch() != epoch || update.metadata() == null) {
+      return false;
+    }
+    boolean isCorrection = metadata != null && !metadata.equals(update.metadata());
+    metadata = update.metadata();
+    return isCorrection;
+  }
+
   /** Takes the payload of an update if it is a later one of its process; whether it was. */
   boolean learnPayload(GossipUpdate update) {
     MemberPayload received = update.payload();
--- a/src/main/java/bitternpulley/membership/MembershipAction.java
+++ b/src/main/java/bitternpulley/membership/MembershipAction.java
@@ -42,6 +42,21 @@
     }
   }
 
+  /**
+   * A member reported other metadata of itself than others had reported.
+   *
+   * @param number the member
+   * @param before the metadata recorded until now
+   * @param now its own report, which replaces that
+   */
+  record MetadataCorrected(int number, MemberMetadata before, MemberMetadata now)
+      implements MembershipAction {
+    @Override
+    public String toString() {
+      return "member " + number + " reports " + now + ", was recorded as " + before;
+    }
+  }
+
   /**
    * A member published a new payload.
    *
--- a/src/main/java/bitternpulley/membership/UpdateHandler.java
+++ b/src/main/java/bitternpulley/membership/UpdateHandler.java
@@ -88,7 +88,7 @@
   }
 
   private void applyAlive(Member member, GossipUpdate update, int reporter, double now) {
-    member.learnMetadata(update);
+    applyMetadata(member, update, reporter);
     if (!update.isNewerThan(member.epoch(), member.incarnation())) {
       return;
     }
@@ -99,6 +99,18 @@
     }
   }
 
+  private void applyMetadata(Member member, GossipUpdate update, int reporter) {
+    if (member.number() != reporter) {
+      member.learnMetadata(update);
+      return;
+    }
+    MemberMetadata before = member.metadata();
+    if (member.correctMetadata(update)) {
+      outbox.add(
+          new MembershipAction.MetadataCorrected(member.number(), before, member.metadata()));
+    }
+  }
+
   /** Handles an update by which an active member is suspect, dead or has left. */
   private void applyAccusation(Member member, GossipUpdate update, double now) {
     boolean isNewer = update.isNewerThan(member.epoch(), member.incarnation());
--- a/src/test/java/bitternpulley/membership/MembershipHealingTest.java
+++ b/src/test/java/bitternpulley/membership/MembershipHealingTest.java
@@ -15,6 +15,7 @@
   private static final int SEEDS = 3;
   private static final int HOLDER = 0;
   private static final int SUBJECT = 1;
+  private static final int REPORTER = 2;
 
   /** Ms by which an accepted epoch is later than the subject's own. */
   private static final int EPOCH_LEAD_MS = 14;
@@ -73,6 +74,45 @@
     }
   }
 
+  /** Regression: a wrong zone of a member stayed until it restarted. */
+  @ParameterizedTest
+  @ValueSource(ints = {5, 20})
+  void wrongMetadataHealsByTheSubjectsOwnReport(int size) {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      SimulatedCluster cluster =
+          new SimulatedCluster(size, seed, MembershipSettings.DEFAULT);
+      MemberMetadata wrong = new MemberMetadata("n" + SUBJECT, "spoiled", "r", "b");
+      GossipUpdate report =
+          new GossipUpdate(
+              SUBJECT,
+              cluster.member(SUBJECT).epoch(),
+              0,
+              MemberState.ALIVE,
+              GossipUpdate.NO_ACCUSER,
+              wrong);
+      cluster.deliver(
+          REPORTER, HOLDER, GossipMessages.sync(REPORTER, cluster.member(REPORTER).epoch(), report));
+      cluster.runUntil(
+          5000, "wrong zone recorded", () -> wrong.equals(metadataAt(cluster, HOLDER)));
+      MemberMetadata right = cluster.member(SUBJECT).members().get(SUBJECT).metadata();
+      cluster.runUntil(
+          tenSyncRounds(cluster),
+          "zone corrected at all",
+          () ->
+              IntStream.range(0, size)
+                  .allMatch(observer -> right.equals(metadataAt(cluster, observer))));
+    }
+  }
+
+  /** A member sends its own metadata to one other every ten intervals. */
+  private static double tenSyncRounds(SimulatedCluster cluster) {
+    return 10 * cluster.size() * 10 * MembershipSettings.DEFAULT.interval();
+  }
+
+  private static MemberMetadata metadataAt(SimulatedCluster cluster, int observer) {
+    return cluster.member(observer).members().get(SUBJECT).metadata();
+  }
+
   private static long epochAt(SimulatedCluster cluster, int observer) {
     return cluster.member(observer).members().get(SUBJECT).epoch();
   }
