--- a/src/main/java/bitternpulley/aggregator/ServiceContext.java
+++ b/src/main/java/bitternpulley/aggregator/ServiceContext.java
@@ -35,7 +35,7 @@
     Configuration site = configuration.site();
     Clock clock = Clock.system();
     EventLoop loop = new EventLoop(clock::now);
-    Broker.Timer timer = new LoopTimer(loop);
+    Broker.Timer timer = loop::schedule;
     Reducer reducer = new Reducer(site.settings(), site.seed(), clock.now());
     Broker broker = new Broker(reducer, clock, timer);
     int fronts = configuration.search().isPresent() ? 2 : 1;
--- a/src/main/java/bitternpulley/gossip/GossipService.java
+++ b/src/main/java/bitternpulley/gossip/GossipService.java
@@ -104,7 +104,7 @@
             "Membership waits for its address, which another process holds: "
                 + failure.getMessage());
       }
-      var unused = loop.after(BIND_RETRY_MS, this::start);
+      loop.schedule(BIND_RETRY_MS, this::start);
       return;
     }
     startMembership();
@@ -137,7 +137,7 @@
   private void tick(Membership core) {
     if (!hasLeft) {
       broker.submit(new Event.MembershipTick());
-      var unused = loop.after(core.tickInterval(), () -> tick(core));
+      loop.schedule(core.tickInterval(), () -> tick(core));
     }
   }
 
--- a/src/main/java/bitternpulley/platform/ConnectionPrewarmer.java
+++ b/src/main/java/bitternpulley/platform/ConnectionPrewarmer.java
@@ -76,7 +76,7 @@
   private void run() {
     if (enabled && !running && !waiting.isEmpty()) {
       running = true;
-      var unused = loop.after(MAX_START_DELAY_MS * random.nextDouble(), this::runTurn);
+      loop.schedule(MAX_START_DELAY_MS * random.nextDouble(), this::runTurn);
     }
   }
 
@@ -91,6 +91,6 @@
       waiting.remove(server);
       openConnection.accept(server);
     }
-    var unused = loop.after(TURN_INTERVAL_MS, this::runTurn);
+    loop.schedule(TURN_INTERVAL_MS, this::runTurn);
   }
 }
--- a/src/main/java/bitternpulley/platform/Discovery.java
+++ b/src/main/java/bitternpulley/platform/Discovery.java
@@ -177,7 +177,7 @@
         return;
       }
       current = newWatch();
-      var unused = loop.after(backoff * (1 - JITTER * random.nextDouble()), current::open);
+      loop.schedule(backoff * (1 - JITTER * random.nextDouble()), current::open);
       backoff = Math.min(2 * backoff, MAX_BACKOFF_MS);
     }
   }
--- a/src/main/java/bitternpulley/platform/DiscoveryWatch.java
+++ b/src/main/java/bitternpulley/platform/DiscoveryWatch.java
@@ -145,7 +145,7 @@
   }
 
   private void scheduleLivenessCheck() {
-    var unused = loop.after(livenessDeadline() - loop.now(), this::checkLiveness);
+    loop.schedule(livenessDeadline() - loop.now(), this::checkLiveness);
   }
 
   private void checkLiveness() {
--- a/src/main/java/bitternpulley/platform/SlotConnection.java
+++ b/src/main/java/bitternpulley/platform/SlotConnection.java
@@ -194,7 +194,7 @@
     connection.write(
         SlotFrames.cancel(part.id()),
         () -> {
-          var unused = loop.after(cancelDelay, () -> reportCancelled(attempt));
+          loop.schedule(cancelDelay, () -> reportCancelled(attempt));
         });
   }
 
--- a/src/main/java/bitternpulley/platform/SlotConnectionPool.java
+++ b/src/main/java/bitternpulley/platform/SlotConnectionPool.java
@@ -62,7 +62,7 @@
   }
 
   private void scheduleIdleCheck() {
-    var unused = loop.after(IDLE_CHECK_INTERVAL_MS, this::closeUnneeded);
+    loop.schedule(IDLE_CHECK_INTERVAL_MS, this::closeUnneeded);
   }
 
   private void closeUnneeded() {
--- a/src/main/java/bitternpulley/platform/WarmupQueries.java
+++ b/src/main/java/bitternpulley/platform/WarmupQueries.java
@@ -130,7 +130,7 @@
     }
     if (succeeded && queriesRun < queryCount && System.nanoTime() < endNanos) {
       // An alarm, since a task executed now would still run in this turn, before discovery is read.
-      var unused = loop.after(0, () -> runTurn(queryCount, endNanos, done));
+      loop.schedule(0, () -> runTurn(queryCount, endNanos, done));
     } else {
       done.run();
     }
@@ -140,7 +140,7 @@
   public void continueInBackground() {
     inBackground = true;
     if (queriesRun < TOTAL_QUERIES && tryRunOne()) {
-      var unused = loop.after(BACKGROUND_INTERVAL_MS, this::continueInBackground);
+      loop.schedule(BACKGROUND_INTERVAL_MS, this::continueInBackground);
     }
   }
 
