--- a/src/main/java/bitternpulley/faultinjection/Cluster.java
+++ b/src/main/java/bitternpulley/faultinjection/Cluster.java
@@ -272,6 +272,7 @@
       throws IOException, InterruptedException {
     double from = timeline.now();
     while (!holds.getAsBoolean()) {
+      failIfOneEndedByItself();
       if (timeline.now() > from + most) {
         StringBuilder views = new StringBuilder();
         for (int i : running()) {
@@ -294,6 +295,15 @@
     return timeline.now() - from;
   }
 
+  private void failIfOneEndedByItself() throws IOException {
+    for (Node node : nodes) {
+      if (node.hasEndedByItself()) {
+        throw new AssertionError(
+            node.name() + " has ended by itself; replay: " + replay + "; its log:\n" + node.log());
+      }
+    }
+  }
+
   @Override
   public void close() throws IOException {
     for (Node n : nodes) {
--- a/src/main/java/bitternpulley/faultinjection/Node.java
+++ b/src/main/java/bitternpulley/faultinjection/Node.java
@@ -32,6 +32,7 @@
   private final HostPort front;
   private final HostPort door;
   private Process process;
+  private boolean isEndExpected;
   private int starts;
 
   /** A node that is not started yet; {@code script} is its operators' script, or null. */
@@ -57,6 +58,7 @@
   /** Starts a process; one that ran before must have ended. */
   public Node start() throws IOException {
     starts++;
+    isEndExpected = false;
     process = process();
     return this;
   }
@@ -153,6 +155,11 @@
     return process != null && process.isAlive();
   }
 
+  /** Whether its process has ended though it was neither killed nor told to end. */
+  public boolean hasEndedByItself() {
+    return process != null && !process.isAlive() && !isEndExpected;
+  }
+
   /** How often it was started. */
   public int starts() {
     return starts;
@@ -173,6 +180,7 @@
 
   /** Tells it to end, as at a planned restart. */
   public void terminate() throws IOException {
+    isEndExpected = true;
     signal("TERM");
   }
 
@@ -191,6 +199,7 @@
 
   /** Ends the process at once, stopped or not; its connections are reset. */
   public void kill() {
+    isEndExpected = true;
     process.destroyForcibly();
     try {
       process.waitFor();
--- a/src/test/java/bitternpulley/membership/MembershipHealingTest.java
+++ b/src/test/java/bitternpulley/membership/MembershipHealingTest.java
@@ -79,8 +79,7 @@
   @ValueSource(ints = {5, 20})
   void wrongMetadataHealsByTheSubjectsOwnReport(int size) {
     for (long seed = 1; seed <= SEEDS; seed++) {
-      SimulatedCluster cluster =
-          new SimulatedCluster(size, seed, MembershipSettings.DEFAULT);
+      SimulatedCluster cluster = new SimulatedCluster(size, seed, MembershipSettings.DEFAULT);
       MemberMetadata wrong = new MemberMetadata("n" + SUBJECT, "spoiled", "r", "b");
       GossipUpdate report =
           new GossipUpdate(
@@ -91,7 +90,9 @@
               GossipUpdate.NO_ACCUSER,
               wrong);
       cluster.deliver(
-          REPORTER, HOLDER, GossipMessages.sync(REPORTER, cluster.member(REPORTER).epoch(), report));
+          REPORTER,
+          HOLDER,
+          GossipMessages.sync(REPORTER, cluster.member(REPORTER).epoch(), report));
       cluster.runUntil(
           5000, "wrong zone recorded", () -> wrong.equals(metadataAt(cluster, HOLDER)));
       MemberMetadata right = cluster.member(SUBJECT).members().get(SUBJECT).metadata();
