--- a/src/main/java/bitternpulley/broker/Event.java
+++ b/src/main/java/bitternpulley/broker/Event.java
@@ -130,7 +130,7 @@
     }
   }
 
-  /** This process did not run for so many ms until now. */
+  /** This process did not run for a time that ends now, given in ms. */
   record ProcessPaused(double pausedMs) implements Event {
     @Override
     public void dispatch(EventHandler handler) {
--- a/src/main/java/bitternpulley/health/ProcessPauses.java
+++ b/src/main/java/bitternpulley/health/ProcessPauses.java
@@ -16,7 +16,7 @@
 
   private final Deque<Pause> latest = new ArrayDeque<>();
 
-  /** Records that the process did not run for so many ms until now. */
+  /** Records that the process did not run for {@code pausedMs} until now. */
   public void record(double pausedMs, double now) {
     latest.addFirst(new Pause(now - pausedMs, now));
     if (latest.size() > MAX_PAUSES) {
