SeveralProcessesTest: a query's time runs from its own write

whatLayUnreadIsAnsweredInItsClientsTime failed beside load on the head before (4 of some 34 runs beside 9 to 31 busy processes) and now (1 of 30 at a load of 13): answers after 508 to 575 ms of the 500 allowed.

Cause, by the times in a trial's log: the test started one clock for all three queries and wrote them 58 to 80 ms later, as it built their texts in between and was not scheduled. Of the two runs traced the queries were read within 9 ms of their write with 1.5 ms counted as unread, and answered 419 to 443 ms after it; the limit is 450 and 50 of slack.

The texts are built first, and the clock of each query starts right before its own write. The limits are as before.

--- a/src/main/java/bitternpulley/routing/Router.java
+++ b/src/main/java/bitternpulley/routing/Router.java
@@ -265,8 +265,8 @@
   default void onHotRestart(HotRestartRole role) {}
 
   /**
-   * This process did not run for {@code pausedMs} until now. It comes before the events that have waited
-   * meanwhile, some of which may have happened at the beginning of that time.
+   * This process did not run for {@code pausedMs} until now. It comes before the events that have
+   * waited meanwhile, some of which may have happened at the beginning of that time.
    */
   default void onPause(double pausedMs, double now) {}
 
--- a/src/test/java/bitternpulley/process/SeveralProcessesTest.java
+++ b/src/test/java/bitternpulley/process/SeveralProcessesTest.java
@@ -57,13 +57,15 @@
     for (Node n : nodes) {
       sockets.add(Deployment.connect(n.front().toString()));
     }
+    List<byte[]> queries = new ArrayList<>();
+    for (int i = 0; i < NODES; i++) {
+      queries.add(Deployment.query("slot-search", name + i, seconds, sections).getBytes());
+    }
     nodes.get(1).pause();
-    long sent = System.nanoTime();
+    long[] sentAt = new long[NODES];
     for (int i = 0; i < NODES; i++) {
-      sockets
-          .get(i)
-          .getOutputStream()
-          .write(Deployment.query("slot-search", name + i, seconds, sections).getBytes());
+      sentAt[i] = System.nanoTime();
+      sockets.get(i).getOutputStream().write(queries.get(i));
     }
     List<Ended> ended = new ArrayList<>();
     Thread wakes =
@@ -85,7 +87,7 @@
           new Thread(
               () -> {
                 try (Socket s = sockets.get(n)) {
-                  found[n] = new Ended(Deployment.reply(s), (System.nanoTime() - sent) / 1e6);
+                  found[n] = new Ended(Deployment.reply(s), (System.nanoTime() - sentAt[n]) / 1e6);
                 } catch (IOException e) {
                   throw new IllegalStateException(e);
                 }
