--- a/review/rig/LargePages.java
+++ b/review/rig/LargePages.java
@@ -11,25 +11,26 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Small searches and platform queries arrive at a steady rate. Now and then a few searches ask for
- * a page of 700 hits instead of 100, so that each part is answered with seven times as much, under
+ * Small searches and platform queries arrive at a steady rate. Now and then two searches ask for
+ * a page of 800 hits instead of 100, so that each part is answered with eight times as much, under
  * the 256 KiB that the front allows. Checked is that the aggregator goes on running, and that what
  * it took is answered.
  */
 final class LargePages {
   private static final int USUAL_SIZE = 100;
-  private static final int LARGE_SIZE = 700;
+  private static final int LARGE_SIZE = 800;
   private static final int DOCUMENTS = 1000;
-  private static final int QUARTER_HOURS = 96;
+  private static final int FIRST_HOUR = 8;
+  private static final int HOURS = 12;
   private static final int WORK_MS = 5;
   private static final int SEARCH_INTERVAL_MS = 60;
   private static final int QUERY_INTERVAL_MS = 200;
 
-  /** The numbers of the searches in whose place several large ones come together. */
-  private static final Set<Integer> LARGE_AT = Set.of(250, 380);
+  /** The numbers of the searches in whose place two large ones come together. */
+  private static final Set<Integer> LARGE_AT = Set.of(120, 180, 240, 300, 360, 420);
 
   /** 12 large ones of about 560 requests of the class in all, 2.2 of 100. */
-  private static final int LARGE_TOGETHER = 6;
+  private static final int LARGE_TOGETHER = 2;
 
   private static final double DURATION_S = 28;
   private static final int DEADLINE_MS = 6000;
@@ -105,7 +106,7 @@
     return answer(Rig.shardOf(request), Rig.number(request.text(), "size"));
   }
 
-  /** Returns the best hits of a shard: schedules with the free slots of each quarter hour. */
+  /** Returns the best hits of a shard: schedules with the free slots of each hour. */
   private String answer(int shard, int size) {
     return answers.computeIfAbsent(
         shard + "/" + size,
@@ -116,9 +117,10 @@
             hits.append(document == 0 ? "" : ",")
                 .append("{\"_index\":\"slots\",\"_id\":\"" + shard + "-" + document)
                 .append("\",\"_score\":" + (100_000 - Rig.SHARDS * document - shard))
-                .append(".0,\"_source\":{\"centre\":\"c" + document + "\",\"free\":[");
-            for (int quarter = 0; quarter < QUARTER_HOURS; quarter++) {
-              hits.append(quarter == 0 ? "" : ",").append(random.nextInt(40));
+                .append(".0,\"_source\":{\"centre\":\"c" + document + "\",\"day\":[");
+            for (int hour = FIRST_HOUR; hour < FIRST_HOUR + HOURS; hour++) {
+              hits.append(hour == FIRST_HOUR ? "" : ",")
+                  .append("{\"h\":" + hour + ",\"free\":" + random.nextInt(40) + "}");
             }
             hits.append("]}}");
           }
