--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -296,6 +296,9 @@
   @Override
   public void close() throws IOException {
     endProcesses();
+    for (Process process : started) {
+      process.onExit().completeOnTimeout(process, 3, TimeUnit.SECONDS).join();
+    }
     try (Stream<Path> files = Files.walk(folder)) {
       for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
         Files.deleteIfExists(file);
