--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -16,6 +16,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -24,13 +25,12 @@
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 
 /**
  * What the cases share: one aggregator as a process of its own, started with the run line of the
- * deploy file; a discovery stand-in; slot servers that speak the search API; an HTTP client; the
- * record. Everything is on loopback addresses.
+ * deploy file; a discovery stand-in; slot servers that speak the platform's frames and, where a case
+ * needs it, the search API; an HTTP client; the record. Everything is on loopback addresses.
  */
 final class Rig implements AutoCloseable {
   static final int HELD = 0;
@@ -55,7 +55,6 @@
   final String searchListen;
   final String admin;
   final Discovery discovery;
-  final AtomicInteger framePartsServed = new AtomicInteger();
   final List<Process> started = new CopyOnWriteArrayList<>();
   final Map<String, String> environment = new TreeMap<>();
   private final PrintWriter record;
@@ -63,6 +62,12 @@
   /** The descriptors that the configuration allows the aggregator. */
   int sockets = 1024;
 
+  /** Whether the search front listens; as shipped it does not. */
+  boolean searchFront;
+
+  /** The address of discovery in the configuration file. */
+  String discoveryInConfig;
+
   private final long startNanos = System.nanoTime();
 
   Rig(Path root, Path recordFile) throws IOException {
@@ -75,6 +80,7 @@
     searchListen = "127.0.0.1:" + freePort(List.of("127.0.0.1"));
     admin = "127.0.0.1:" + freePort(List.of("127.0.0.1"));
     discovery = new Discovery();
+    discoveryInConfig = discovery.address();
     Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
   }
 
@@ -128,16 +134,17 @@
 
   /** Starts an aggregator with the run line of the deploy file. */
   Process startAggregator() throws IOException {
-    Path config = folder.resolve("config.json");
-    Files.writeString(config, config());
-    Path search = folder.resolve("opensearch.json");
-    Files.writeString(search, searchConfig());
+    Path config = writeConfig();
     ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", runLine());
     builder.directory(root.toFile()).redirectErrorStream(true);
     Map<String, String> variables = builder.environment();
     variables.keySet().removeIf(name -> name.startsWith("LB_"));
     variables.put("LB_CONFIG", config.toString());
-    variables.put("LB_OPENSEARCH", search.toString());
+    if (searchFront) {
+      Path search = folder.resolve("opensearch.json");
+      Files.writeString(search, searchConfig());
+      variables.put("LB_OPENSEARCH", search.toString());
+    }
     variables.put("LB_ADMIN", admin);
     variables.put("TMPDIR", folder.toString());
     variables.putAll(environment);
@@ -149,13 +156,30 @@
               new BufferedReader(
                   new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
             for (String line = lines.readLine(); line != null; line = lines.readLine()) {
-              note("aggregator says: " + line);
+              if (!line.startsWith("\tat ")) {
+                note("aggregator says: " + line);
+              }
             }
           }
         });
     return process;
   }
 
+  /** Writes the configuration file in one step, as the platform replaces it. */
+  Path writeConfig() throws IOException {
+    Path config = folder.resolve("config.json");
+    Path next = folder.resolve("config.json.new");
+    Files.writeString(next, config());
+    Files.move(next, config, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    return config;
+  }
+
+  /** Sends a signal to a process that this case started. */
+  void signal(String signal, Process process) throws IOException, InterruptedException {
+    new ProcessBuilder("kill", "-" + signal, String.valueOf(process.pid())).start().waitFor();
+    note("sent SIG" + signal + " to the aggregator");
+  }
+
   private String runLine() throws IOException {
     for (String line : Files.readAllLines(root.resolve("deploy/balancer.toml"))) {
       if (line.startsWith("run = \"")) {
@@ -186,7 +210,7 @@
     return "{\"name\":\"n0\",\"listen\":\""
         + listen
         + "\",\"discovery\":\""
-        + discovery.address()
+        + discoveryInConfig
         + "\",\"seed\":\"5d1c07aa93b24e68\","
         + "\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":"
         + sockets
@@ -247,14 +271,6 @@
         + "\"bookings\":{\"class\":\"slot-booking\"},\"stock\":{\"class\":\"stock-report\"}}}";
   }
 
-  /** One call to the admin endpoint: a line, answered by a line. */
-  String callAdmin(String call) throws IOException {
-    try (Socket socket = connect(admin, 3000)) {
-      socket.getOutputStream().write((call + "\n").getBytes(StandardCharsets.UTF_8));
-      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8).strip();
-    }
-  }
-
   static Socket connect(String address, int timeoutMs) throws IOException {
     int colon = address.lastIndexOf(':');
     Socket socket = new Socket();
@@ -345,11 +361,15 @@
           () -> {
             while (true) {
               Socket socket = listener.accept();
+              onConnection.run();
               daemon(() -> serve(socket));
             }
           });
     }
 
+    /** Runs when a connection to this agent has been accepted. */
+    volatile Runnable onConnection = () -> {};
+
     String address() {
       return "127.0.0.1:" + listener.getLocalPort();
     }
@@ -575,7 +595,6 @@
             synchronized (socket) {
               socket.getOutputStream().write(answer.array());
             }
-            framePartsServed.incrementAndGet();
           });
     }
   }
@@ -610,17 +629,6 @@
     return all;
   }
 
-  /** Returns the shard that a request to a slot server names. */
-  static int shardOf(Message request) {
-    String start = request.start();
-    int from = start.indexOf("_shards:") + "_shards:".length();
-    int end = from;
-    while (Character.isDigit(start.charAt(end))) {
-      end++;
-    }
-    return Integer.parseInt(start.substring(from, end));
-  }
-
   /** Returns a number that a JSON text gives for a key. */
   static int number(String json, String key) {
     int from = json.indexOf("\"" + key + "\":") + key.length() + 3;
