--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -25,12 +25,13 @@
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 
 /**
  * What the cases share: one aggregator as a process of its own, started with the run line of the
- * deploy file; a discovery stand-in; slot servers that speak the platform's frames and, where a case
- * needs it, the search API; an HTTP client; the record. Everything is on loopback addresses.
+ * deploy file; a discovery stand-in; slot servers that speak the platform's frames or the search
+ * API; an HTTP client; the record. Everything is on loopback addresses.
  */
 final class Rig implements AutoCloseable {
   static final int HELD = 0;
@@ -55,6 +56,7 @@
   final String searchListen;
   final String admin;
   final Discovery discovery;
+  final AtomicInteger framePartsServed = new AtomicInteger();
   final List<Process> started = new CopyOnWriteArrayList<>();
   final Map<String, String> environment = new TreeMap<>();
   private final PrintWriter record;
@@ -271,6 +273,14 @@
         + "\"bookings\":{\"class\":\"slot-booking\"},\"stock\":{\"class\":\"stock-report\"}}}";
   }
 
+  /** One call to the admin endpoint: a line, answered by a line. */
+  String callAdmin(String call) throws IOException {
+    try (Socket socket = connect(admin, 3000)) {
+      socket.getOutputStream().write((call + "\n").getBytes(StandardCharsets.UTF_8));
+      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8).strip();
+    }
+  }
+
   static Socket connect(String address, int timeoutMs) throws IOException {
     int colon = address.lastIndexOf(':');
     Socket socket = new Socket();
@@ -595,6 +605,7 @@
             synchronized (socket) {
               socket.getOutputStream().write(answer.array());
             }
+            framePartsServed.incrementAndGet();
           });
     }
   }
@@ -629,6 +640,17 @@
     return all;
   }
 
+  /** Returns the shard that a request to a slot server names. */
+  static int shardOf(Message request) {
+    String start = request.start();
+    int from = start.indexOf("_shards:") + "_shards:".length();
+    int end = from;
+    while (Character.isDigit(start.charAt(end))) {
+      end++;
+    }
+    return Integer.parseInt(start.substring(from, end));
+  }
+
   /** Returns a number that a JSON text gives for a key. */
   static int number(String json, String key) {
     int from = json.indexOf("\"" + key + "\":") + key.length() + 3;
