--- a/review/rig/LargeHeads.java
+++ b/review/rig/LargeHeads.java
@@ -43,6 +43,7 @@
               Socket socket = Rig.connect(rig.listen, 10_000);
               stalled.add(socket);
               socket.getOutputStream().write(head);
+              Rig.daemon(() -> readToTheEnd(socket));
               return null;
             });
       }
@@ -61,6 +62,16 @@
     return before.lost() + during.lost() == 0 ? Rig.HELD : Rig.BROKEN;
   }
 
+  /** Reads whatever comes, and leaves when the aggregator ends its side. */
+  private static void readToTheEnd(Socket socket) throws IOException {
+    try (socket) {
+      socket.setSoTimeout(0);
+      while (socket.getInputStream().read() >= 0) {
+        // The error is not looked at.
+      }
+    }
+  }
+
   private static void send(Queries queries, int count) throws InterruptedException {
     for (int number = 0; number < count; number++) {
       queries.send();
