Making room for one connection no longer ends others in nested calls; errors end no turn

Cause: AcceptLoop asked for capacity before it recorded the accept. The eviction's error response called back into accepting, which evicted the next incomplete request, and so on, until the stack of 512 KiB overflowed.

Evidence: the log has the chain evict, send, responseWritten, acceptIfCapacity; where the stack sufficed, AcceptPendingException on the way back.

--- a/src/main/java/bitternpulley/admin/OverridesFile.java
+++ b/src/main/java/bitternpulley/admin/OverridesFile.java
@@ -75,12 +75,21 @@
     // Runs until the process ends, so nothing cancels it.
     Future<?> unused =
         executor.scheduleWithFixedDelay(
-            () -> checkForChange(observer),
+            () -> checkForChangeLoggingErrors(observer),
             CHECK_INTERVAL_MS,
             CHECK_INTERVAL_MS,
             TimeUnit.MILLISECONDS);
   }
 
+  /** Supervised boundary: the executor would end the checks silently after a failure. */
+  private void checkForChangeLoggingErrors(Consumer<OperatorOverrides> observer) {
+    try {
+      checkForChange(observer);
+    } catch (RuntimeException | Error failure) {
+      LOG.log(Level.ERROR, "Checking operator overrides for changes failed", failure);
+    }
+  }
+
   private void checkForChange(Consumer<OperatorOverrides> observer) {
     OperatorOverrides loaded = load();
     if (!loaded.equals(current)) {
--- a/src/main/java/bitternpulley/broker/Broker.java
+++ b/src/main/java/bitternpulley/broker/Broker.java
@@ -104,7 +104,7 @@
   private void perform(Effect effect) {
     try {
       effect.dispatch(performer);
-    } catch (RuntimeException failure) {
+    } catch (RuntimeException | Error failure) {
       // A failure in one protocol adapter must not prevent the remaining effects from being carried
       // out.
       LOG.log(Level.ERROR, "Could not carry out " + effect, failure);
--- a/src/main/java/bitternpulley/broker/Reducer.java
+++ b/src/main/java/bitternpulley/broker/Reducer.java
@@ -113,7 +113,7 @@
     try {
       event.dispatch(dispatcher);
       policy.completeBatch();
-    } catch (RuntimeException failure) {
+    } catch (RuntimeException | Error failure) {
       // A failure of the routing policy must neither lose requests nor end the process.
       LOG.log(Level.ERROR, "Routing policy failed while handling " + event, failure);
       recovery.recover(event);
--- a/src/main/java/bitternpulley/broker/RequestHandler.java
+++ b/src/main/java/bitternpulley/broker/RequestHandler.java
@@ -121,7 +121,7 @@
     }
     try {
       policy.clientDisconnected(id);
-    } catch (RuntimeException failure) {
+    } catch (RuntimeException | Error failure) {
       // The request is already answered, and the policy may have failed on it before.
       LOG.log(
           Level.ERROR, "Routing policy failed while handling the end of request " + id, failure);
--- a/src/main/java/bitternpulley/gossip/GossipService.java
+++ b/src/main/java/bitternpulley/gossip/GossipService.java
@@ -133,7 +133,8 @@
         Level.INFO,
         "Membership started: member " + self + " of " + addresses.size() + ", epoch " + epoch);
     broker.submit(new Event.MembershipStarted(membership));
-    tick(membership);
+    tick();
+    loop.repeat(membership.tickInterval(), this::tick);
   }
 
   private String zone() {
@@ -141,11 +142,12 @@
     return zone < configuration.zones().size() ? configuration.zones().get(zone) : "";
   }
 
-  private void tick(Membership membership) {
+  /** Returns whether further ticks follow. */
+  private boolean tick() {
     if (!hasLeft) {
       broker.submit(new Event.MembershipTick());
-      loop.schedule(membership.tickInterval(), () -> tick(membership));
     }
+    return !hasLeft;
   }
 
   /** Announces to the other members that this member leaves, and stops the ticks. */
--- a/src/main/java/bitternpulley/net/AcceptLoop.java
+++ b/src/main/java/bitternpulley/net/AcceptLoop.java
@@ -44,21 +44,48 @@
     this.onAccepted = onAccepted;
   }
 
-  /** Accepts the next connection, unless an accept is in progress or there is no capacity. */
+  /**
+   * Accepts the next connection, unless an accept is in progress or there is no capacity. Does
+   * nothing when called while capacity is being made, because that ends other connections, which
+   * asks for an accept in turn.
+   */
   void acceptNext() {
-    if (accepting || !listener.isOpen() || !hasCapacity.getAsBoolean()) {
+    if (accepting || !listener.isOpen()) {
       return;
     }
     accepting = true;
-    listener.accept(this::accepted, this::failed);
+    if (makeCapacity()) {
+      accept();
+    }
+  }
+
+  private boolean makeCapacity() {
+    boolean hasCapacityNow = false;
+    try {
+      hasCapacityNow = hasCapacity.getAsBoolean();
+    } finally {
+      accepting = hasCapacityNow;
+    }
+    return hasCapacityNow;
+  }
+
+  private void accept() {
+    try {
+      listener.accept(this::accepted, this::failed);
+    } catch (RuntimeException | Error failure) {
+      failed(failure);
+    }
   }
 
   private void accepted(Connection connection) {
     accepting = false;
     lastAcceptedAt = loop.now();
     loop.connectionAccepted();
-    onAccepted.accept(connection);
-    acceptNext();
+    try {
+      onAccepted.accept(connection);
+    } finally {
+      acceptNext();
+    }
   }
 
   private void failed(Throwable error) {
--- a/src/main/java/bitternpulley/net/Connection.java
+++ b/src/main/java/bitternpulley/net/Connection.java
@@ -150,12 +150,15 @@
     };
   }
 
-  /** Supervised boundary: an exception in a handler closes only the connection concerned. */
+  /**
+   * Supervised boundary: a failure in a handler closes only the connection concerned. Errors count
+   * as well, because a connection that is not read any more would otherwise stay open for good.
+   */
   private <T> void runClosingOnError(CompletionAction<T> action, T result) {
     try {
       action.run(result);
-    } catch (RuntimeException exception) {
-      LOG.log(Level.ERROR, "The handler of a connection failed; closing the connection", exception);
+    } catch (RuntimeException | Error failure) {
+      LOG.log(Level.ERROR, "The handler of a connection failed; closing the connection", failure);
       close();
     }
   }
--- a/src/main/java/bitternpulley/net/EventLoop.java
+++ b/src/main/java/bitternpulley/net/EventLoop.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.BooleanSupplier;
 import java.util.function.DoubleConsumer;
 import java.util.function.DoubleSupplier;
 
@@ -81,7 +82,12 @@
   /** Starts to measure the lag of the loop, which counts as zero until then. */
   public void startLagMonitor() {
     lag.tick(now());
-    schedule(EventLoopLag.TICK_INTERVAL_MS, this::startLagMonitor);
+    repeat(
+        EventLoopLag.TICK_INTERVAL_MS,
+        () -> {
+          lag.tick(now());
+          return true;
+        });
   }
 
   /** Returns the time in ms that the bytes read in this turn may have waited to be read. */
@@ -137,6 +143,25 @@
     Future<?> unused = scheduleCancellable(ms, task);
   }
 
+  /**
+   * Runs a task in its own turn every {@code ms} until it returns false. A run that fails does not
+   * end the repetition.
+   */
+  public void repeat(double ms, BooleanSupplier task) {
+    schedule(ms, () -> runAndRepeat(ms, task));
+  }
+
+  private void runAndRepeat(double ms, BooleanSupplier task) {
+    boolean continues = true;
+    try {
+      continues = task.getAsBoolean();
+    } finally {
+      if (continues) {
+        repeat(ms, task);
+      }
+    }
+  }
+
   /**
    * Runs a task in a turn for the result of a socket operation that was armed at {@code armedAt}.
    */
@@ -146,9 +171,12 @@
           if (isInOutermostTurn()) {
             lag.socketTurnStarted(now(), armedAt);
           }
-          task.run();
-          if (isInOutermostTurn()) {
-            lag.socketTurnEnded(now());
+          try {
+            task.run();
+          } finally {
+            if (isInOutermostTurn()) {
+              lag.socketTurnEnded(now());
+            }
           }
         });
   }
@@ -181,13 +209,15 @@
   }
 
   /**
-   * Supervised boundary: the loop survives a failed task; an executor would swallow the exception.
+   * Supervised boundary: the loop survives a failed task, whose exception an executor would
+   * swallow. An error such as a stack overflow must not end the turn either, because its remaining
+   * tasks would wait for a next turn.
    */
   private static void runLoggingErrors(Runnable task) {
     try {
       task.run();
-    } catch (RuntimeException exception) {
-      LOG.log(Level.ERROR, "A task of the event loop failed", exception);
+    } catch (RuntimeException | Error failure) {
+      LOG.log(Level.ERROR, "A task of the event loop failed", failure);
     }
   }
 }
--- a/src/main/java/bitternpulley/net/HttpServer.java
+++ b/src/main/java/bitternpulley/net/HttpServer.java
@@ -155,7 +155,7 @@
             () -> !holdingBack && sessions.makeCapacity(),
             this::startSession);
     acceptLoop.acceptNext();
-    loop.schedule(SWEEP_INTERVAL_MS, this::sweep);
+    loop.repeat(SWEEP_INTERVAL_MS, this::sweep);
   }
 
   private void startSession(Connection connection) {
@@ -177,13 +177,14 @@
     }
   }
 
-  /** Applies the time-outs of all connections, with one timer instead of one per connection. */
-  private void sweep() {
+  /**
+   * Applies the time-outs of all connections, with one timer instead of one per connection; returns
+   * whether there can be any later.
+   */
+  private boolean sweep() {
     sessions.sweep();
     acceptLoop.acceptNext();
-    if (acceptLoop.isOpen() || !sessions.isEmpty()) {
-      loop.schedule(SWEEP_INTERVAL_MS, this::sweep);
-    }
+    return acceptLoop.isOpen() || !sessions.isEmpty();
   }
 
   /** From now on, closes each connection after its next response. */
@@ -283,7 +284,7 @@
     acceptLoop.acceptNext();
   }
 
-  /** Accepts another connection if there is capacity, or if an idle connection can be evicted. */
+  /** Accepts another connection if there is capacity or a connection can be evicted. */
   void acceptIfCapacity() {
     acceptLoop.acceptNext();
   }
--- a/src/main/java/bitternpulley/net/HttpSession.java
+++ b/src/main/java/bitternpulley/net/HttpSession.java
@@ -139,8 +139,21 @@
     }
   }
 
+  /**
+   * Applies the time-outs. Supervised boundary: a failure closes only this connection, so that the
+   * time-outs of the others are applied.
+   */
+  void enforceTimeoutsClosingOnError() {
+    try {
+      enforceTimeouts();
+    } catch (RuntimeException | Error failure) {
+      LOG.log(Level.ERROR, "Applying a time-out failed; closing the connection", failure);
+      connection.close();
+    }
+  }
+
   /** Closes the connection if it stays idle, or rejects its request if that stays incomplete. */
-  void enforceTimeouts() {
+  private void enforceTimeouts() {
     if (isIdle() && isIdleTimeOver()) {
       closeIdle();
     } else if (isReceivingRequest() && drainState.rejectsRequest(stateChangedAt)) {
@@ -308,9 +321,9 @@
       server
           .handler()
           .handle(new HttpServer.Request(head, body, unread, loop.worstLagMs()), newExchange);
-    } catch (RuntimeException exception) {
+    } catch (RuntimeException | Error failure) {
       // Supervised boundary: a request whose handler fails still gets a response.
-      LOG.log(Level.ERROR, "Handling a request failed", exception);
+      LOG.log(Level.ERROR, "Handling a request failed", failure);
       newExchange.reply(server.handler().errorResponse(500, "failed"));
     }
   }
@@ -337,7 +350,9 @@
       resumePipelined();
     }
     recordHeldBytes();
-    server.acceptIfCapacity();
+    if (staysOpen) {
+      server.acceptIfCapacity();
+    }
   }
 
   @Override
--- a/src/main/java/bitternpulley/net/HttpSessionRegistry.java
+++ b/src/main/java/bitternpulley/net/HttpSessionRegistry.java
@@ -64,7 +64,7 @@
 
   /** Applies the time-outs of all connections. */
   void enforceTimeouts() {
-    Set.copyOf(sessions).forEach(HttpSession::enforceTimeouts);
+    Set.copyOf(sessions).forEach(HttpSession::enforceTimeoutsClosingOnError);
   }
 
   /** Applies the time-outs of all connections and counts the unused ones. */
@@ -72,7 +72,7 @@
     unusedCount = 0;
     for (HttpSession session : Set.copyOf(sessions)) {
       unusedCount += session.isUnusedFor(UNUSED_AFTER_MS) ? 1 : 0;
-      session.enforceTimeouts();
+      session.enforceTimeoutsClosingOnError();
     }
   }
 
--- a/src/main/java/bitternpulley/net/InheritedListener.java
+++ b/src/main/java/bitternpulley/net/InheritedListener.java
@@ -54,9 +54,9 @@
     while (true) {
       try {
         selector.select(selected -> ((Runnable) selected.attachment()).run());
-      } catch (IOException | RuntimeException exception) {
+      } catch (IOException | RuntimeException | Error failure) {
         // Supervised boundary: the failure of one connection must not end the selector thread.
-        LOG.log(Level.ERROR, "Selecting the inherited sockets failed", exception);
+        LOG.log(Level.ERROR, "Selecting the inherited sockets failed", failure);
       }
     }
   }
--- a/src/main/java/bitternpulley/net/UdpSocket.java
+++ b/src/main/java/bitternpulley/net/UdpSocket.java
@@ -56,9 +56,9 @@
             () -> handler.received(buffer.array(), buffer.position(), (InetSocketAddress) from));
       } catch (ClosedChannelException exception) {
         return;
-      } catch (IOException | RuntimeException exception) {
+      } catch (IOException | RuntimeException | Error failure) {
         // Supervised boundary: one failed datagram must not end the receiving thread.
-        LOG.log(Level.WARNING, "Receiving a datagram failed", exception);
+        LOG.log(Level.WARNING, "Receiving a datagram failed", failure);
       }
     }
   }
--- a/src/main/java/bitternpulley/net/WriteQueue.java
+++ b/src/main/java/bitternpulley/net/WriteQueue.java
@@ -107,9 +107,9 @@
       onFailure.run();
     } catch (InterruptedException exception) {
       throw new IllegalStateException("Interrupted although the write was complete", exception);
-    } catch (RuntimeException exception) {
+    } catch (RuntimeException | Error failure) {
       // Supervised boundary: a failed callback closes only its own connection.
-      LOG.log(Level.ERROR, "Handling a completed write failed; closing the connection", exception);
+      LOG.log(Level.ERROR, "Handling a completed write failed; closing the connection", failure);
       onFailure.run();
     }
   }
--- a/src/main/java/bitternpulley/platform/SlotConnectionPool.java
+++ b/src/main/java/bitternpulley/platform/SlotConnectionPool.java
@@ -60,11 +60,12 @@
     this.timing = timing;
     this.limits = limits;
     this.owner = owner;
-    scheduleIdleCheck();
-  }
-
-  private void scheduleIdleCheck() {
-    loop.schedule(IDLE_CHECK_INTERVAL_MS, this::closeUnneeded);
+    loop.repeat(
+        IDLE_CHECK_INTERVAL_MS,
+        () -> {
+          closeUnneeded();
+          return true;
+        });
   }
 
   private void closeUnneeded() {
@@ -75,7 +76,6 @@
         }
       }
     }
-    scheduleIdleCheck();
   }
 
   private boolean isUnneeded(SlotConnection connection) {
--- a/src/main/java/bitternpulley/platform/WarmupQueries.java
+++ b/src/main/java/bitternpulley/platform/WarmupQueries.java
@@ -165,14 +165,14 @@
   }
 
   /**
-   * Runs one query; returns false after a failure. Catches every runtime exception, since a defect
-   * of the warm-up must not keep the program from becoming ready.
+   * Runs one query; returns false after a failure. Catches every failure, since a defect of the
+   * warm-up must not keep the program from becoming ready.
    */
   private boolean tryRunOne() {
     try {
       runOne();
       return true;
-    } catch (RuntimeException failure) {
+    } catch (RuntimeException | Error failure) {
       LOG.log(Level.WARNING, "The JVM warm-up ends early, at query " + queriesRun, failure);
       return false;
     }
