Search connections are reused only after an answer that names its request

Cause: HttpClient matched answers to requests by order alone. A copy that came once the next request had been written was taken for its answer, and each later answer on the connection for the next one.

Evidence: a test server that repeats its previous answer when the next request has come; before, the second search got the first one's documents, with and without the id in answers (both forms failed).

Change: the request's X-Opaque-Id, sent as before, is compared with the answer's. A connection is used again only after an answer that returned it; an answer with another id, or with none where earlier ones had one, fails its attempt as reset. TenantClients states that it trusts the order.

The cost of a connection for each part is not measured yet.

--- a/src/main/java/bitternpulley/benchmark/TenantClients.java
+++ b/src/main/java/bitternpulley/benchmark/TenantClients.java
@@ -150,7 +150,10 @@
     HttpClient.Call call =
         client.send(
             address,
-            ByteBuffer.wrap(requestByNumber.apply(number).getBytes(StandardCharsets.UTF_8)),
+            new HttpClient.Request(
+                ByteBuffer.wrap(requestByNumber.apply(number).getBytes(StandardCharsets.UTF_8)),
+                Double.POSITIVE_INFINITY,
+                HttpClient.ResponseMatcher.IN_ORDER),
             new HttpClient.ResponseHandler() {
               @Override
               public void response(HttpClient.Response response) {
--- a/src/main/java/bitternpulley/emulator/SlotServer.java
+++ b/src/main/java/bitternpulley/emulator/SlotServer.java
@@ -228,6 +228,7 @@
           endAttempt(inFlight, partId);
           exchange.reply(
               json(
+                  partId,
                   200,
                   "{\"took\":1,\"timed_out\":false,\"_shards\":{\"total\":1,\"successful\":1,"
                       + "\"skipped\":0,\"failed\":0},\"hits\":{\"total\":{\"value\":1,"
@@ -242,6 +243,7 @@
           endAttempt(inFlight, partId);
           exchange.reply(
               json(
+                  partId,
                   429,
                   "{\"error\":{\"type\":\"rejected_execution_exception\",\"reason\":\"full\"},"
                       + "\"status\":429}"));
@@ -268,5 +270,13 @@
           Map.of("Content-Type", "application/json"),
           body.getBytes(StandardCharsets.UTF_8));
     }
+
+    /** Returns a response that names the part to which it belongs. */
+    private HttpServer.Response json(String partId, int status, String body) {
+      return new HttpServer.Response(
+          status,
+          Map.of("Content-Type", "application/json", "X-Opaque-Id", partId),
+          body.getBytes(StandardCharsets.UTF_8));
+    }
   }
 }
--- a/src/main/java/bitternpulley/net/HttpClient.java
+++ b/src/main/java/bitternpulley/net/HttpClient.java
@@ -21,6 +21,34 @@
     MAYBE_SENT
   }
 
+  /** What a response shows about the request that it belongs to. */
+  public enum ResponseMatch {
+    /** It names the request, so whatever follows it cannot be taken for it. */
+    CONFIRMED,
+    /** It names no request. */
+    UNKNOWN,
+    /** It names another request. */
+    OTHER_REQUEST
+  }
+
+  /** Finds out which request a response belongs to. */
+  public interface ResponseMatcher {
+    /** Trusts the server to send exactly one response to each request, in order. */
+    ResponseMatcher IN_ORDER = head -> ResponseMatch.CONFIRMED;
+
+    /** Returns what the head of a response shows. */
+    ResponseMatch match(HttpHead head);
+  }
+
+  /**
+   * A request.
+   *
+   * @param bytes its head and body
+   * @param sendBy ms of the loop's clock after which it is not sent any more
+   * @param matcher decides whether a response belongs to this request
+   */
+  public record Request(ByteBuffer bytes, double sendBy, ResponseMatcher matcher) {}
+
   /**
    * A complete response.
    *
@@ -84,26 +112,20 @@
   }
 
   /**
-   * Sends a request, given as the bytes of its head and body; returns null when no more connections
-   * can be opened.
-   */
-  public Call send(HostPort address, ByteBuffer request, ResponseHandler handler) {
-    return send(address, request, Double.POSITIVE_INFINITY, handler);
-  }
-
-  /**
-   * Sends a request like {@link #send(HostPort, ByteBuffer, ResponseHandler)}, unless its
-   * connection is established only after {@code sendBy}, in ms of the loop's clock: then the call
-   * fails without sending the request.
+   * Sends a request, unless its connection is established only after its time: then the call fails
+   * without sending it. Returns null when no more connections can be opened.
+   *
+   * <p>A connection is used again only after a response that is confirmed to belong to its request.
+   * Otherwise a late second copy of a response could be taken for the response to the next request.
    */
-  public Call send(HostPort address, ByteBuffer request, double sendBy, ResponseHandler handler) {
+  public Call send(HostPort address, Request request, ResponseHandler handler) {
     ArrayDeque<PooledConnection> idle = idleConnections.get(address);
     PooledConnection connection = idle == null ? null : idle.pollLast();
     if (connection == null) {
       connection = connect(address);
     }
     if (connection != null) {
-      connection.begin(request, sendBy, handler);
+      connection.begin(request, handler);
     }
     return connection;
   }
--- a/src/main/java/bitternpulley/net/PooledConnection.java
+++ b/src/main/java/bitternpulley/net/PooledConnection.java
@@ -12,8 +12,7 @@
   private final HostPort address;
   private final HttpParser parser;
   private final Connection connection;
-  private ByteBuffer request;
-  private double sendBy;
+  private HttpClient.Request request;
   private HttpClient.ResponseHandler handler;
   private boolean connected;
   private boolean written;
@@ -42,9 +41,8 @@
   }
 
   /** Starts a call; its request is written as soon as the connection is established. */
-  void begin(ByteBuffer newRequest, double newSendBy, HttpClient.ResponseHandler newHandler) {
+  void begin(HttpClient.Request newRequest, HttpClient.ResponseHandler newHandler) {
     useCount++;
-    sendBy = newSendBy;
     request = newRequest;
     written = false;
     handler = newHandler;
@@ -54,11 +52,11 @@
   }
 
   private void write() {
-    if (request != null && loop.now() > sendBy) {
+    if (request != null && loop.now() > request.sendBy()) {
       failWith(HttpClient.Failure.NOT_IN_TIME, "there was no connection in time");
       connection.close();
     } else if (request != null) {
-      connection.write(request, () -> written = true);
+      connection.write(request.bytes(), () -> written = true);
     }
   }
 
@@ -109,16 +107,24 @@
   }
 
   /**
-   * Passes on the response. When more bytes follow it, the response is valid, but later bytes could
-   * not be assigned to a request, so the connection is closed.
+   * Passes on the response, unless it belongs to another request. When more bytes follow it, or
+   * when it is not confirmed to belong to the request, later bytes could not be assigned to a
+   * request, so the connection is closed.
    */
   private void complete(boolean hasMoreBytes) {
+    HttpClient.ResponseMatch match = request.matcher().match(response.head());
+    if (belongsToAnotherRequest(match)) {
+      fail("the response belongs to another request");
+      connection.close();
+      return;
+    }
     HttpClient.Response received = response;
     HttpClient.ResponseHandler completedHandler = handler;
     response = null;
     handler = null;
     request = null;
-    if (keepAlive && !hasMoreBytes && !connection.isClosed()) {
+    boolean isConfirmed = match == HttpClient.ResponseMatch.CONFIRMED;
+    if (isConfirmed && keepAlive && !hasMoreBytes && !connection.isClosed()) {
       client.release(this);
     } else {
       connection.close();
@@ -126,6 +132,15 @@
     completedHandler.response(received);
   }
 
+  /**
+   * Returns whether a response does not answer the current request. A server whose earlier
+   * responses on this connection named their requests is expected to name this one as well.
+   */
+  private boolean belongsToAnotherRequest(HttpClient.ResponseMatch match) {
+    return match == HttpClient.ResponseMatch.OTHER_REQUEST
+        || (match == HttpClient.ResponseMatch.UNKNOWN && useCount > 1);
+  }
+
   private void fail(String reason) {
     failWith(written ? HttpClient.Failure.MAYBE_SENT : HttpClient.Failure.NEVER_SENT, reason);
   }
--- a/src/main/java/bitternpulley/opensearch/PartRequestEncoder.java
+++ b/src/main/java/bitternpulley/opensearch/PartRequestEncoder.java
@@ -2,6 +2,7 @@
 
 import bitternpulley.broker.Effect;
 import bitternpulley.net.HostPort;
+import bitternpulley.net.HttpClient;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
@@ -13,6 +14,9 @@
 final class PartRequestEncoder {
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
+  /** Names a part of a search; servers return it with their answer. */
+  private static final String OPAQUE_ID = "X-Opaque-Id";
+
   private PartRequestEncoder() {}
 
   /** Returns the bytes of the request, head and body. */
@@ -24,6 +28,29 @@
     return ByteBuffer.allocate(head.length + body.length).put(head).put(body).flip();
   }
 
+  /** Returns the matcher of the response to an attempt, by the id that the request carried. */
+  static HttpClient.ResponseMatcher responseMatcher(Effect.StartAttempt attempt) {
+    Search search = PendingSearch.searchOf(attempt);
+    String expected = opaqueId(search, search.parts().get(attempt.partIndex()));
+    return head -> {
+      String received = head.header(OPAQUE_ID);
+      if (received == null) {
+        return HttpClient.ResponseMatch.UNKNOWN;
+      }
+      return received.equals(expected)
+          ? HttpClient.ResponseMatch.CONFIRMED
+          : HttpClient.ResponseMatch.OTHER_REQUEST;
+    };
+  }
+
+  private static String opaqueId(Search search, Search.Part part) {
+    return search.id() + "." + partName(part);
+  }
+
+  private static String partName(Search.Part part) {
+    return part.index() + "." + part.shard();
+  }
+
   private static byte[] body(Search search, double timeoutMs) {
     ObjectNode body = search.body().deepCopy();
     body.put("timeout", Math.max(1, Math.round(timeoutMs)) + "ms");
@@ -35,7 +62,6 @@
   }
 
   private static String head(Search search, Search.Part part, HostPort address, int contentLength) {
-    String partName = part.index() + "." + part.shard();
     return "POST /"
         + part.index()
         + "/_search?preference=_shards:"
@@ -43,8 +69,8 @@
         + "&allow_partial_search_results=false HTTP/1.1\r\n"
         + header("Host", address.toString())
         + header("Content-Type", "application/json")
-        + header("X-Opaque-Id", search.id() + "." + partName)
-        + idempotencyKeyHeader(search, partName)
+        + header(OPAQUE_ID, opaqueId(search, part))
+        + idempotencyKeyHeader(search, partName(part))
         + header("Content-Length", String.valueOf(contentLength))
         + "\r\n";
   }
--- a/src/main/java/bitternpulley/opensearch/SearchServers.java
+++ b/src/main/java/bitternpulley/opensearch/SearchServers.java
@@ -83,11 +83,12 @@
 
   /** Sends an attempt; null if no more connections can be opened. */
   private HttpClient.Call send(Effect.StartAttempt attempt, HostPort address) {
-    return client.send(
-        address,
-        PartRequestEncoder.encode(attempt, address),
-        attempt.sendBy(),
-        new AttemptListener(attempt));
+    HttpClient.Request request =
+        new HttpClient.Request(
+            PartRequestEncoder.encode(attempt, address),
+            attempt.sendBy(),
+            PartRequestEncoder.responseMatcher(attempt));
+    return client.send(address, request, new AttemptListener(attempt));
   }
 
   /** Reports the end of one attempt to the broker, unless the attempt was already cancelled. */
--- a/src/test/java/bitternpulley/process/FakeSlotServer.java
+++ b/src/test/java/bitternpulley/process/FakeSlotServer.java
@@ -46,6 +46,8 @@
     LENGTH_TOO_SMALL,
     LENGTH_TOO_LARGE,
     DUPLICATE,
+    /** Searches: sends the previous answer of the connection once more, then serves. */
+    LATE_COPY,
     TRAILING_BYTES,
     BAD_LOAD_REPORT
   }
@@ -59,6 +61,9 @@
   final int cell;
   final String host;
 
+  /** Whether answers to searches name the part that they belong to. */
+  volatile boolean returnsOpaqueId = true;
+
   /** The behavior for an index, which is empty for platform queries, and a shard. */
   volatile BiFunction<String, Integer, Behavior> behavior = (index, shard) -> Behavior.SERVE;
 
@@ -247,6 +252,7 @@
   }
 
   private void serveHttp(Socket socket) throws IOException {
+    List<String> previousAnswer = List.of();
     while (true) {
       InputStream in = socket.getInputStream();
       String[] head = readHead(in);
@@ -275,31 +281,42 @@
         TestClient.send(socket, chosen == Behavior.GARBAGE ? "HTTP/9 what\r\n" : "");
         return;
       }
-      respond(socket, chosen, index, shard, query);
+      List<String> answer = answer(chosen, index, shard, query, headers.get("x-opaque-id"));
+      if (chosen == Behavior.LATE_COPY) {
+        sendPieces(socket, previousAnswer);
+      }
+      sendPieces(socket, answer);
+      previousAnswer = answer;
+    }
+  }
+
+  private static void sendPieces(Socket socket, List<String> pieces) throws IOException {
+    for (String piece : pieces) {
+      TestClient.send(socket, piece);
     }
   }
 
-  private static void respond(
-      Socket socket, Behavior chosen, String index, int shard, JsonNode query) throws IOException {
+  /** Returns an answer in the pieces in which it is written. */
+  private List<String> answer(
+      Behavior chosen, String index, int shard, JsonNode query, String opaqueId) {
     boolean isServed =
         chosen == Behavior.SERVE
+            || chosen == Behavior.LATE_COPY
             || chosen == Behavior.TIMED_OUT
             || chosen == Behavior.TRAILING_BYTES;
     ObjectNode body = isServed ? searchResult(chosen, index, shard, query) : searchError(chosen);
     int status = isServed ? 200 : body.path("status").asInt();
-    byte[] text = body.toString().getBytes(StandardCharsets.UTF_8);
-    OutputStream out = socket.getOutputStream();
-    TestClient.send(
-        socket,
+    String text = body.toString(); // in ASCII
+    return List.of(
         "HTTP/1.1 "
             + status
-            + " X\r\nTransfer-Encoding: chunked\r\n\r\n"
-            + Integer.toHexString(text.length)
-            + "\r\n");
-    out.flush();
-    out.write(text);
-    TestClient.send(
-        socket, "\r\n0\r\n\r\n" + (chosen == Behavior.TRAILING_BYTES ? "\0\1noise\r\n" : ""));
+            + " X\r\n"
+            + (returnsOpaqueId ? "X-Opaque-Id: " + opaqueId + "\r\n" : "")
+            + "Transfer-Encoding: chunked\r\n\r\n"
+            + Integer.toHexString(text.length())
+            + "\r\n",
+        text,
+        "\r\n0\r\n\r\n" + (chosen == Behavior.TRAILING_BYTES ? "\0\1noise\r\n" : ""));
   }
 
   private static ObjectNode searchResult(Behavior chosen, String index, int shard, JsonNode query) {
@@ -318,7 +335,7 @@
       documents
           .addObject()
           .put("_index", index)
-          .put("_id", index + "-" + shard + "-" + i)
+          .put("_id", query.at("/query/term/donor").asText(index) + "-" + shard + "-" + i)
           .put("_score", 100.0 - i - shard / 10.0);
     }
     return body;
--- a/src/test/java/bitternpulley/process/SearchProcessTest.java
+++ b/src/test/java/bitternpulley/process/SearchProcessTest.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** The OpenSearch-style front end of the real program, and traffic over both protocols at once. */
@@ -72,6 +73,32 @@
     return deployment.sendSearch(target, MATCH_ALL).json().at("/hits/total");
   }
 
+  @DataProvider
+  public Object[][] whetherAnswersNameTheirRequest() {
+    return new Object[][] {{true}, {false}};
+  }
+
+  /** Guards against a late second copy of an answer that is taken for the next search's answer. */
+  @Test(dataProvider = "whetherAnswersNameTheirRequest")
+  public void answersNoSearchWithCopyOfAnEarlierAnswer(boolean returnsOpaqueId) throws IOException {
+    deployment.servers.forEach(server -> server.returnsOpaqueId = returnsOpaqueId);
+    setAllServers(Behavior.LATE_COPY);
+    int answered = 0;
+    for (int search = 0; search < 20; search++) {
+      String donor = "donor" + search;
+      Reply reply =
+          deployment.sendSearch(
+              "/slots/_search", "{\"query\":{\"term\":{\"donor\":\"" + donor + "\"}}}");
+      if (reply.status() == 200) {
+        answered++;
+        for (String id : ids(reply)) {
+          assertTrue(id.startsWith(donor + "-"), "search for " + donor + ": " + reply.body());
+        }
+      }
+    }
+    assertTrue(answered > 0);
+  }
+
   /** Guards against surplus bytes after an answer that fail the next call on the connection. */
   @Test
   public void ignoresTrailingBytesAfterValidAnswer() throws IOException {
