JSON nested more than 200 levels deep is refused before it overflows the stack

Since the boundaries catch errors they got 500.

Cause: StrictJson descends recursively, the library allows 1,000 levels, and the threads' stack of 512 KiB does not suffice for them; the log has a StackOverflowError for each request.

Change: the parser's bound on nesting is 200 levels; a deeper body gets 400 like any other bad body.

Result: PlatformProcessTest.rejectsDeeplyNestedBodies and the new case of StrictJsonTest failed before (500 in place of 400; 250 levels accepted) and pass.

--- a/src/main/java/bitternpulley/config/StrictJson.java
+++ b/src/main/java/bitternpulley/config/StrictJson.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.core.JsonParseException;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.StreamReadFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -17,8 +18,15 @@
  * {@code ObjectMapper} would slow down the start considerably.
  */
 public final class StrictJson {
+  /** Deeper nesting could overflow the stack of the threads that parse. */
+  private static final int MAX_NESTING_DEPTH = 200;
+
   private static final JsonFactory FACTORY =
-      JsonFactory.builder().enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION).build();
+      JsonFactory.builder()
+          .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+          .streamReadConstraints(
+              StreamReadConstraints.builder().maxNestingDepth(MAX_NESTING_DEPTH).build())
+          .build();
   private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
 
   private StrictJson() {}
--- a/src/test/java/bitternpulley/config/StrictJsonTest.java
+++ b/src/test/java/bitternpulley/config/StrictJsonTest.java
@@ -34,6 +34,7 @@
       {"NaN"},
       {"{\"a\":01}"},
       {"[".repeat(5000)},
+      {"[".repeat(250) + "]".repeat(250)},
       {"[" + "9".repeat(2000) + "]"}
     };
   }
--- a/src/test/java/bitternpulley/process/PlatformProcessTest.java
+++ b/src/test/java/bitternpulley/process/PlatformProcessTest.java
@@ -239,6 +239,27 @@
   }
 
   /** Guards against request smuggling by a length that contradicts the transfer coding. */
+  /** Deep nesting overflowed the stack, after which neither an error nor a close came. */
+  @Test
+  public void rejectsDeeplyNestedBodies() throws IOException {
+    for (int levels : new int[] {250, 990, 5000}) {
+      String body =
+          "{\"slices\":"
+              + "{\"a\":".repeat(levels)
+              + "1"
+              + "}".repeat(levels)
+              + ",\"filter\":\"c\"}";
+      String head =
+          "POST /slot-search HTTP/1.1\r\nRequest-Id: nested"
+              + levels
+              + "\r\nContent-Length: "
+              + body.length()
+              + "\r\n\r\n";
+      assertEquals(TestClient.exchange(deployment.listenAddress, head, body).status(), 400);
+    }
+    assertTrue(deployment.output.stream().noneMatch(line -> line.contains("StackOverflowError")));
+  }
+
   @Test
   public void rejectsRequestWithLengthAndTransferCoding() throws IOException {
     String hidden = TestClient.queryRequest("slot-search", "hidden", 4, 0);
