Requests sent ahead yield to other clients after 32, and their bytes stay in place

Cause: all buffered requests of a connection were handled in one turn of the loop, and after each the bytes behind it were moved to the start of the buffer of up to 256 KiB.

Change: after 32 requests the rest waits for a turn of its own; PipelineBuffer keeps an index of what is read.

--- a/src/main/java/bitternpulley/net/HttpSession.java
+++ b/src/main/java/bitternpulley/net/HttpSession.java
@@ -8,18 +8,6 @@
  * each of these states, so that a disconnect of the client is noticed at once.
  */
 final class HttpSession implements Connection.Owner, ClientMemoryBudget.Holder {
-  /** The order in which sessions are evicted when a server is near its maximum of connections. */
-  enum EvictionOrder {
-    /** The client has sent nothing yet, or the server only waits for it to close its side. */
-    SILENT,
-    /** No request is in progress. */
-    IDLE,
-    /** A request is incomplete. */
-    INCOMPLETE,
-    /** The session is busy, or too young to be evicted. */
-    NEVER
-  }
-
   private static final System.Logger LOG = System.getLogger(HttpSession.class.getName());
 
   /**
@@ -34,6 +22,12 @@
    */
   private static final double RECHECK_AFTER_MS = 50;
 
+  /**
+   * Number of requests sent ahead after which the loop takes its other turns first, so that one
+   * client with many small requests does not delay the others.
+   */
+  private static final int MAX_REQUESTS_PER_TURN = 32;
+
   private final HttpServer server;
   private final HttpSessionRegistry sessions;
   private final ClientMemoryBudget memoryBudget;
@@ -45,6 +39,13 @@
   private final HttpParser parser;
   private final PipelineBuffer pipeline = new PipelineBuffer();
   private boolean pipelineOverflowed;
+
+  /** Number of requests sent ahead that were started since the loop last took its other turns. */
+  private int requestsInTurn;
+
+  /** Whether buffered requests wait for a turn of their own. */
+  private boolean awaitsTurn;
+
   private HttpExchange exchange;
   private boolean closing;
   private int requestCount;
@@ -70,7 +71,7 @@
   }
 
   private boolean isIdle() {
-    return exchange == null && parser.isBetweenMessages() && !closing;
+    return exchange == null && !awaitsTurn && parser.isBetweenMessages() && !closing;
   }
 
   private boolean isReceivingRequest() {
@@ -94,6 +95,7 @@
   boolean hasPendingWork() {
     return requestCount == 0
         || exchange != null
+        || awaitsTurn
         || closing
         || !parser.isBetweenMessages()
         || !connection.hasWrittenAll();
@@ -101,7 +103,7 @@
 
   /** Returns whether a request is in progress or its response is not completely written. */
   boolean hasPendingResponse() {
-    return exchange != null || !connection.hasWrittenAll();
+    return exchange != null || awaitsTurn || !connection.hasWrittenAll();
   }
 
   /** Returns the rank of this session in the order of eviction. */
@@ -116,7 +118,9 @@
     if (isIdle() || connection.isLingering()) {
       return EvictionOrder.SILENT;
     }
-    return exchange != null || closing ? EvictionOrder.NEVER : EvictionOrder.INCOMPLETE;
+    return exchange != null || awaitsTurn || closing
+        ? EvictionOrder.NEVER
+        : EvictionOrder.INCOMPLETE;
   }
 
   /**
@@ -232,7 +236,7 @@
   }
 
   private void parseRequests(ByteBuffer bytes) {
-    while (exchange == null && bytes.hasRemaining() && !closing) {
+    while (exchange == null && !awaitsTurn && bytes.hasRemaining() && !closing) {
       parse(bytes);
     }
   }
@@ -273,13 +277,34 @@
     discardPipelined();
   }
 
+  /** Continues with buffered requests, now or in a later turn. */
+  private void continuePipelined() {
+    requestsInTurn++;
+    if (requestsInTurn < MAX_REQUESTS_PER_TURN) {
+      resumePipelined();
+    } else {
+      awaitsTurn = true;
+      loop.schedule(0, this::resumeInOwnTurn);
+    }
+  }
+
+  private void resumeInOwnTurn() {
+    awaitsTurn = false;
+    requestsInTurn = 0;
+    if (!closing && !connection.isClosed()) {
+      resumePipelined();
+      recordHeldBytes();
+    }
+  }
+
   /** Continues with the bytes that arrived while the last request was in progress. */
   private void resumePipelined() {
-    parseRequests(pipeline.startReading());
+    ByteBuffer buffered = pipeline.startReading();
+    parseRequests(buffered);
     if (closing) {
       return;
     }
-    pipeline.finishReading();
+    pipeline.finishReading(buffered);
     if (exchange == null && pipelineOverflowed) {
       rejectAndClose(413, "more was sent ahead than is kept");
     }
@@ -347,7 +372,7 @@
     exchange = null;
     stateChangedAt = loop.now();
     if (staysOpen && (pipeline.size() > 0 || pipelineOverflowed)) {
-      resumePipelined();
+      continuePipelined();
     }
     recordHeldBytes();
     if (staysOpen) {
--- a/src/main/java/bitternpulley/net/HttpSessionRegistry.java
+++ b/src/main/java/bitternpulley/net/HttpSessionRegistry.java
@@ -95,7 +95,7 @@
   private HttpSession findEvictable() {
     HttpSession candidate = null;
     for (HttpSession session : sessions) {
-      if (session.evictionOrder() != HttpSession.EvictionOrder.NEVER
+      if (session.evictionOrder() != EvictionOrder.NEVER
           && (candidate == null || session.isEvictedBefore(candidate))) {
         candidate = session;
       }
--- a/src/main/java/bitternpulley/net/PipelineBuffer.java
+++ b/src/main/java/bitternpulley/net/PipelineBuffer.java
@@ -12,12 +12,15 @@
 
   private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
 
-  /** Contains bytes up to its position. */
+  /** Contains the unread bytes from {@link #start} up to its position. */
   private ByteBuffer buffer = EMPTY;
 
+  /** The index of the first unread byte. */
+  private int start;
+
   /** Returns the number of buffered bytes. */
   int size() {
-    return buffer.position();
+    return buffer.position() - start;
   }
 
   /** Returns the heap that the buffer occupies, in bytes. */
@@ -27,39 +30,55 @@
 
   /** Returns whether {@code bytes} can be added. */
   boolean fits(ByteBuffer bytes) {
-    return sizeWith(bytes) <= MAX_BYTES;
-  }
-
-  private int sizeWith(ByteBuffer bytes) {
-    return buffer.position() + bytes.remaining();
+    return size() + bytes.remaining() <= MAX_BYTES;
   }
 
   /** Adds bytes, for which {@link #fits} must be true. */
   void append(ByteBuffer bytes) {
-    int size = sizeWith(bytes);
-    if (size > buffer.capacity()) {
-      buffer =
-          ByteBuffer.allocate(Math.max(size, Math.min(MAX_BYTES, 2 * buffer.capacity())))
-              .put(buffer.flip());
+    if (bytes.remaining() > buffer.remaining()) {
+      makeSpaceFor(bytes.remaining());
     }
     buffer.put(bytes);
   }
 
+  /** Moves the unread bytes to the start of the buffer or, if they need more, of a larger one. */
+  private void makeSpaceFor(int count) {
+    ByteBuffer unread = unread();
+    int size = size() + count;
+    if (size > buffer.capacity()) {
+      buffer = ByteBuffer.allocate(Math.max(size, Math.min(MAX_BYTES, 2 * buffer.capacity())));
+    } else {
+      buffer.clear();
+    }
+    buffer.put(unread);
+    start = 0;
+  }
+
+  private ByteBuffer unread() {
+    return buffer.duplicate().flip().position(start);
+  }
+
   /** Returns the bytes to read; the caller then calls {@link #finishReading} or {@link #clear}. */
   ByteBuffer startReading() {
-    return buffer.flip();
+    return unread();
   }
 
-  /** Keeps the bytes that were not read. */
-  void finishReading() {
-    buffer.compact();
-    if (buffer.position() == 0) {
-      buffer = EMPTY;
+  /**
+   * Keeps the bytes that were not read. They stay in place: moving them after each of many small
+   * requests would take a time that is quadratic in their number.
+   *
+   * @param bytes the buffer that {@link #startReading} returned
+   */
+  void finishReading(ByteBuffer bytes) {
+    start = bytes.position();
+    if (size() == 0) {
+      clear();
     }
   }
 
   /** Drops all bytes. */
   void clear() {
     buffer = EMPTY;
+    start = 0;
   }
 }
--- a/src/test/java/bitternpulley/net/HttpSlowClientTest.java
+++ b/src/test/java/bitternpulley/net/HttpSlowClientTest.java
@@ -1,6 +1,7 @@
 package bitternpulley.net;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -47,4 +48,22 @@
       }
     }
   }
+
+  /** Many small requests that one client sends ahead must not delay the requests of others. */
+  @Test
+  public void servesOtherClientsBetweenRequestsSentAhead() throws Exception {
+    int requestCount = 8_000;
+    try (Socket client = connect(request("/held", ""));
+        Socket other = connect("")) {
+      awaitCondition("the request is in progress", () -> openExchanges.size() == 1);
+      write(client, "GET /ahead HTTP/1.1\r\n\r\n".repeat(requestCount));
+      loop.runInTurn(() -> {}); // by now the requests are being read
+      loop.execute(() -> openExchanges.get(0).reply(errorResponse(200, "at last")));
+      assertEquals(readStatus(client), 200);
+      write(other, request("/other", ""));
+      assertEquals(readStatus(other), 200);
+      int handledBefore = handled.indexOf("/other");
+      assertTrue(handledBefore < requestCount / 2, "requests handled before: " + handledBefore);
+    }
+  }
 }
