A larger backlog, so that queries are not dropped while stalled clients fill the descriptors

Cause: some 750 connections a second were accepted, each with one eviction, but the backlog of 512 was full; the kernel drops what does not fit, and those clients try again after 1 and 3 s.

Change: a backlog of 4,096, which the kernel may bound lower.

The test of stalled clients has a form with 256 descriptors.

--- a/src/main/java/bitternpulley/net/HttpServer.java
+++ b/src/main/java/bitternpulley/net/HttpServer.java
@@ -9,7 +9,11 @@
  * limits on all of them together, and {@link DrainState} has the rules for draining.
  */
 public final class HttpServer {
-  private static final int BACKLOG = 512;
+  /**
+   * Connections that may wait to be accepted; the kernel has a limit of its own. Beyond it, clients
+   * believe to be connected but are not, and what they send is lost for seconds.
+   */
+  private static final int BACKLOG = 4096;
 
   /** Interval at which all connections are checked for time-outs. */
   private static final double SWEEP_INTERVAL_MS = 100;
--- a/src/test/java/bitternpulley/net/HttpSlowClientTest.java
+++ b/src/test/java/bitternpulley/net/HttpSlowClientTest.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
 import org.testng.annotations.Test;
 
 /** Tests clients that send more than the server buffers, or do not read their response. */
@@ -53,17 +54,26 @@
   @Test
   public void servesOtherClientsBetweenRequestsSentAhead() throws Exception {
     int requestCount = 8_000;
+    String ahead = "GET /ahead HTTP/1.1\r\n\r\n".repeat(requestCount);
     try (Socket client = connect(request("/held", ""));
         Socket other = connect("")) {
       awaitCondition("the request is in progress", () -> openExchanges.size() == 1);
-      write(client, "GET /ahead HTTP/1.1\r\n\r\n".repeat(requestCount));
-      loop.runInTurn(() -> {}); // by now the requests are being read
-      loop.execute(() -> openExchanges.get(0).reply(errorResponse(200, "at last")));
-      assertEquals(readStatus(client), 200);
-      write(other, request("/other", ""));
+      write(client, ahead);
+      awaitCondition("the requests to be read", () -> heldBytes() >= ahead.length());
+      whileLoopIsBlocked(
+          () -> {
+            write(other, request("/other", ""));
+            openExchanges.get(0).reply(errorResponse(200, "at last"));
+          });
       assertEquals(readStatus(other), 200);
       int handledBefore = handled.indexOf("/other");
       assertTrue(handledBefore < requestCount / 2, "requests handled before: " + handledBefore);
     }
   }
+
+  private long heldBytes() {
+    AtomicLong bytes = new AtomicLong();
+    loop.runInTurn(() -> bytes.set(server.memoryBudget().totalBytes()));
+    return bytes.get();
+  }
 }
--- a/src/test/java/bitternpulley/process/StalledClientsProcessTest.java
+++ b/src/test/java/bitternpulley/process/StalledClientsProcessTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
@@ -13,6 +14,7 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /**
@@ -44,6 +46,7 @@
     for (Socket socket : sockets) {
       socket.close();
     }
+    sockets.clear();
   }
 
   private void connectStalledClients() {
@@ -99,10 +102,14 @@
   }
 
   private void query(String id, int shard, List<String> unanswered) {
+    long startedAt = System.nanoTime();
     try (Socket socket = TestClient.connect(deployment.listenAddress)) {
       socket.setSoTimeout(FINAL_ANSWER_MS);
       TestClient.send(socket, TestClient.queryRequest("slot-search", id, 3, shard));
       TestClient.readReply(socket);
+      if (System.nanoTime() - startedAt > TimeUnit.MILLISECONDS.toNanos(FINAL_ANSWER_MS)) {
+        throw new SocketTimeoutException("answered too late");
+      }
     } catch (SocketTimeoutException silence) {
       synchronized (unanswered) {
         unanswered.add(id);
@@ -112,8 +119,20 @@
     }
   }
 
-  @Test
-  public void answersQueriesAndEndsStalledClientsThatFillTheDescriptors() throws Exception {
+  @DataProvider
+  public Object[][] descriptorLimits() {
+    return new Object[][] {{1024}, {256}};
+  }
+
+  /** With few descriptors, most of the clients wait to be accepted, and the queries among them. */
+  @Test(dataProvider = "descriptorLimits")
+  public void answersQueriesAndEndsStalledClientsThatFillTheDescriptors(int descriptors)
+      throws Exception {
+    deployment.close();
+    deployment = new Deployment();
+    ((ObjectNode) deployment.config().path("limits")).put("sockets", descriptors);
+    deployment.startAndAwaitReady();
+    stopped = false;
     connectStalledClients();
     assertEquals(unansweredQueries("beside", QUERIES), List.of());
     closeClients();
