--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Runs case 10; TROUBLE=0 plays it without the disruption. Needs the build of the deploy file and review/build-2.sh.
+folder=$(cd "$(dirname "$0")" && pwd) || exit 2
+cd "$folder/../.." || exit 2
+[ -f target/bitternpulley.jar ] && [ -f target/review-2/Case10.class ] || exit 2
+exec java -Xmx512m -cp target/review-2 Case10 "$folder"
