--- a/review/10/Case10.java
+++ b/review/10/Case10.java
@@ -1,84 +1,86 @@
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+
 /**
- * A part of a class whose repeats are dropped only within a window stays out at a server that
- * answers nothing. It may be sent again within the window only.
+ * An aggregator starts with an old list while discovery is slow: it answers each call 1.2 s after
+ * it came. What discovery tells must be known 6 s after the start at the latest.
  */
 public final class Case10 {
   private static final int CELLS = 6;
+  private static final int SHARDS = 12;
+
+  /** What discovery takes to answer a call, in ms. */
+  private static final double SLOW_MS = 1200;
 
-  /** The window of the class, in ms, and the slack that a check on the real clock allows. */
-  private static final double WINDOW_MS = 1000;
+  /** After this time a change counts as told, whether it arrived or not, in ms. */
+  private static final double TOLD_MS = 6000;
 
-  private static final double SLACK_MS = 50;
+  /** The grace of the rule on drains, and 50 ms that the protocol page adds, in ms. */
+  private static final double GRACE_MS = 250 + 50;
 
-  private static Simulator simulator;
-  private static double firstSentAt = Double.NaN;
-  private static int late;
+  private static volatile double readyAt = Double.NaN;
+  private static final AtomicInteger LATE = new AtomicInteger();
+  private static final AtomicInteger ANSWERED = new AtomicInteger();
 
   public static void main(String[] args) {
     Rig.main(args, Case10::run);
   }
 
-  private static boolean run(Rig rig) throws Exception {
-    simulator = new Simulator(rig, action -> act(rig, action));
-    String settings =
-        Rig.settings(
-                CELLS,
-                12,
-                113,
-                Rig.queryClass("slot-booking", "token", 2)
-                    .replace("\"aim\":2000.0", "\"aim\":3000.0")
-                    .replace("\"dedupWindow\":5000.0", "\"dedupWindow\":" + WINDOW_MS),
-                "")
-            .replace("\"secondCopies\":false", "\"secondCopies\":true");
-    simulator.launch(settings, CELLS);
-    double start = rig.ms() + 100;
-    simulator.at(
-        start,
-        "workItem",
-        "\"who\":0,\"ref\":1,\"lane\":0,\"groupNo\":1,\"shard\":-1,\"shareOrCount\":2,"
-            + "\"expiresIn\":5000.0");
-    for (int part = 0; part < 2; part++) {
-      simulator.at(
-          start,
-          "workItem",
-          "\"who\":0,\"ref\":"
-              + (2 + part)
-              + ",\"lane\":0,\"groupNo\":1,\"shard\":"
-              + (2 * part)
-              + ",\"shareOrCount\":"
-              + (part == 0 ? 0.7 : 0.3));
+  private static final class Server extends SlotServer {
+    private final boolean drains;
+
+    Server(Rig rig, int cell) throws Exception {
+      super(rig, "s-" + cell, "127.0.0.1", cell);
+      drains = cell == 0;
+    }
+
+    @Override
+    void onPart(Part part) {
+      double late = rig.ms() - readyAt;
+      if (drains && late > TOLD_MS + SLOW_MS + GRACE_MS) {
+        rig.log(id + ", which drains, is sent " + part.id() + " " + Math.round(late) + " ms after");
+        LATE.incrementAndGet();
+      }
+      super.onPart(part);
     }
-    simulator.playUntil(start + 5500);
-    rig.log("attempts of part 3 after the window: " + late);
-    return late == 0;
   }
 
-  private static void act(Rig rig, Simulator.Action action) {
-    if (!action.verb().equals("issue")) {
-      return;
+  private static boolean run(Rig rig) throws Exception {
+    Discovery discovery = new Discovery(rig);
+    Server[] servers = new Server[CELLS];
+    for (int cell = 0; cell < CELLS; cell++) {
+      servers[cell] = new Server(rig, cell);
+      discovery.add("s-" + cell, entry(servers[cell], "up"));
     }
-    double now = rig.ms();
-    boolean hangs = Rig.TROUBLE && action.value("ref").equals("3") && Double.isNaN(firstSentAt);
-    if (action.value("ref").equals("3")) {
-      if (Double.isNaN(firstSentAt)) {
-        firstSentAt = now;
-      } else if (now > firstSentAt + WINDOW_MS + SLACK_MS) {
-        late++;
-        rig.log("part 3 is sent again " + Math.round(now - firstSentAt) + " ms after its first"
-            + " attempt, which is still out; its window is " + Math.round(WINDOW_MS) + " ms");
+    String known = discovery.list();
+    discovery.change("s-0", entry(servers[0], "draining"));
+    rig.log("s-0 drains; the list from before the start does not know it");
+    Discovery.Agent agent = discovery.open("127.0.0.1");
+    agent.delayMs = Rig.TROUBLE ? SLOW_MS : 0;
+    String listen = "127.0.0.1:" + Rig.freePort("127.0.0.1");
+    String settings = Rig.settings(CELLS, SHARDS, 113, Rig.lahoreClasses(), "");
+    String file =
+        rig.file("config.json", Rig.config("n0", listen, agent.address, known, settings))
+            .toString();
+    Process node = rig.start("run", "n0", Map.of("LB_CONFIG", file), false);
+    rig.awaitReady(node, "n0", listen);
+    readyAt = rig.ms();
+    for (int query = 0; rig.ms() < readyAt + 25_000; query++) {
+      int shard = query % SHARDS;
+      String body = "{\"slices\":[{\"slice\":" + shard + ",\"mass\":1.0}],\"filter\":\"c41e77d0\"}";
+      try (Rig.Http http = new Rig.Http(listen, 7000)) {
+        String head = "Request-Id: q" + query + "\r\nRequest-Timeout: 6.0\r\n";
+        int status = http.post("/slot-search", head, body.getBytes()).status;
+        ANSWERED.addAndGet(status == 200 ? 1 : 0);
       }
+      Rig.sleep(50);
     }
-    if (!hangs) {
-      simulator.at(
-          now + 180,
-          "settled",
-          "\"who\":0,\"ref\":"
-              + action.value("ref")
-              + ",\"server\":\""
-              + action.value("server")
-              + "\",\"complete\":true,\"disposition\":\"completed\",\"roundNo\":"
-              + (action.value("ref").equals("3") && Rig.TROUBLE ? 1 : 0)
-              + ",\"elapsed\":180.0");
-    }
+    rig.log("queries served: " + ANSWERED.get() + ", parts sent to s-0 too late: " + LATE.get());
+    return LATE.get() == 0 && node.isAlive();
+  }
+
+  private static String entry(SlotServer server, String phase) {
+    String zone = server.cell % 2 == 0 ? "lhr-gulberg" : "lhr-johar";
+    return Discovery.entry(server.id, server.address, zone, server.cell, phase, 0);
   }
 }
