--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
 # Runs case 6; TROUBLE=0 plays it without the disruption. Needs the build of the deploy file and review/build-2.sh.
+command -v java > /dev/null || exit 2
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -f target/bitternpulley.jar ] && [ -f target/review-2/Case6.class ] || exit 2
