DiscoveryTest: its clients no longer reach the servers of later tests

HttpCloseRaceTest.closesWithoutResetWhenRequestCrossesCloseByQuiescedServer failed once in a full run: eight requests were handled where two were expected. Its log has the cause: a discovery client that DiscoveryTest had started, and that goes on to reconnect after its test, connected to port 46561, which the system had given to the server of the later test after the agent was closed (eight "Closing a watch of discovery at 127.0.0.1:46561 after an invalid message" within that class).

The agents of DiscoveryTest now listen on ports from Ports, which no later test is given. No check changes. DiscoveryTest 13, HttpCloseRaceTest 28 green in one JVM.

--- a/src/test/java/bitternpulley/platform/DiscoveryTest.java
+++ b/src/test/java/bitternpulley/platform/DiscoveryTest.java
@@ -50,8 +50,13 @@
     agent.close();
   }
 
+  /**
+   * Listens on a port that is not given to any later test: the discovery client of a test goes on
+   * to connect to it after the test.
+   */
   private static ServerSocket listen() throws IOException {
-    ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    ServerSocket listener =
+        new ServerSocket(Ports.reservePort(), 50, InetAddress.getLoopbackAddress());
     listener.setSoTimeout(TIMEOUT_MS);
     return listener;
   }
