--- a/src/main/java/bitternpulley/aggregator/SearchService.java
+++ b/src/main/java/bitternpulley/aggregator/SearchService.java
@@ -25,7 +25,7 @@
             context.connectTimeout(),
             context.configuration().connections().idleTimeout());
     SearchServers searchServers =
-        new SearchServers(context.loop(), context.broker(), client, configuration.serverPort());
+        new SearchServers(context.loop(), context.broker(), client, configuration);
     context.broker().addProtocolAdapter(searchServers);
     SearchFrontend searchFrontend =
         new SearchFrontend(
@@ -35,7 +35,8 @@
             searchServers,
             context.clock(),
             context.configuration().name(),
-            context.brokerConfiguration()::tenantIdentification);
+            context.brokerConfiguration()::tenantIdentification,
+            context.clientMemory().inProgress());
     return new SearchService(
         searchServers, context.newHttpServer(searchFrontend), configuration.listen());
   }
--- a/src/main/java/bitternpulley/aggregator/ServiceContext.java
+++ b/src/main/java/bitternpulley/aggregator/ServiceContext.java
@@ -4,7 +4,7 @@
 import bitternpulley.broker.Clock;
 import bitternpulley.broker.Reducer;
 import bitternpulley.config.Configuration;
-import bitternpulley.net.ClientMemoryBudget;
+import bitternpulley.net.ClientMemory;
 import bitternpulley.net.EventLoop;
 import bitternpulley.net.HttpServer;
 
@@ -28,7 +28,7 @@
     Configuration configuration,
     ActiveBrokerConfiguration brokerConfiguration,
     DescriptorBudget descriptors,
-    ClientMemoryBudget clientMemory) {
+    ClientMemory clientMemory) {
 
   /** Largest body of a client's request, in bytes. */
   static final int MAX_BODY_BYTES = 64 * 1024;
@@ -50,7 +50,7 @@
         configuration,
         new ActiveBrokerConfiguration(broker, startup.broker()),
         DescriptorBudget.of(configuration, httpServerCount),
-        new ClientMemoryBudget(loop));
+        ClientMemory.create(loop));
   }
 
   /** Creates an HTTP server for clients that does not listen yet. */
--- a/src/main/java/bitternpulley/config/StrictJson.java
+++ b/src/main/java/bitternpulley/config/StrictJson.java
@@ -37,7 +37,7 @@
    * @throws IOException if the text is malformed, contains no value or continues after the value
    */
   public static JsonNode read(byte[] text) throws IOException {
-    try (JsonParser parser = FACTORY.createParser(text)) {
+    try (JsonParser parser = newParser(text)) {
       if (parser.nextToken() == null) {
         throw new JsonParseException(parser, "the text contains no value");
       }
@@ -49,6 +49,11 @@
     }
   }
 
+  /** Returns a parser with the same rules, for texts of which no tree is needed. */
+  public static JsonParser newParser(byte[] text) throws IOException {
+    return FACTORY.createParser(text);
+  }
+
   /** Recursive; the parser limits the depth. */
   private static JsonNode value(JsonParser parser) throws IOException {
     return switch (parser.currentToken()) {
--- a/src/main/java/bitternpulley/net/ClientMemoryBudget.java
+++ b/src/main/java/bitternpulley/net/ClientMemoryBudget.java
@@ -7,64 +7,121 @@
 import java.util.Optional;
 
 /**
- * Bounds the heap that all clients together can occupy without a request in progress: with
- * incomplete requests, with requests sent ahead and with responses that they do not read. Beyond
- * the bound, the client that occupies most is rejected, so that clients with small requests are
- * served whatever the others send. All calls are made in turns of the event loop.
+ * Bounds the heap that something kept for clients occupies, for all clients together. Beyond the
+ * bound, the holder that occupies most is released, so that clients with small requests are served
+ * whatever the others send. All calls are made in turns of the event loop.
  */
 public final class ClientMemoryBudget {
   private static final System.Logger LOG = System.getLogger(ClientMemoryBudget.class.getName());
 
-  /** An eighth of the heap with which the program is deployed. */
-  private static final long DEFAULT_MAX_BYTES = 5 << 20;
+  /** Bound for incomplete requests: an eighth of the heap with which the program is deployed. */
+  private static final long MAX_INCOMING_BYTES = 5 << 20;
+
+  /**
+   * Share of the heap for requests in progress and their answers. What is kept for a request is
+   * copied when it is encoded or parsed, so that the rest of the heap has to hold it once more.
+   */
+  private static final double MAX_IN_PROGRESS_SHARE = 0.3;
 
   /** Minimum time between two warnings. */
   private static final double WARNING_INTERVAL_MS = 60_000;
 
-  /** A client connection. */
-  interface Holder {
-    /** Returns whether {@link #release} would release anything now. */
-    boolean canRelease();
+  /** The order in which holders are released; of two with the same order, the larger is first. */
+  public enum ReleaseOrder {
+    /** Waits for a client that has not read anything for some time. */
+    STALLED,
+    /** Can be rejected. */
+    PENDING,
+    /** Is being sent to a client that reads. */
+    SENDING,
+    /** Cannot be released. */
+    NEVER
+  }
+
+  /** Something that is kept for a client. */
+  public interface Holder {
+    /** Returns when {@link #release} may be called. */
+    ReleaseOrder releaseOrder();
 
-    /** Releases what the connection occupies and tells its client, if that is possible. */
+    /** Releases what is kept and notifies the client, if that is possible. */
     void release();
   }
 
   private final EventLoop loop;
+  private final String contents;
   private final long maxBytes;
   private final Map<Holder, Long> heldBytes = new HashMap<>();
   private long totalBytes;
   private double nextWarningAt = Double.NEGATIVE_INFINITY;
 
-  /** Creates a budget for all servers of a process. */
-  public ClientMemoryBudget(EventLoop loop) {
-    this(loop, DEFAULT_MAX_BYTES);
-  }
-
-  /** Creates a budget with another bound. */
-  ClientMemoryBudget(EventLoop loop, long maxBytes) {
+  /**
+   * Creates a budget.
+   *
+   * @param loop the event loop
+   * @param contents what the budget bounds, for the log
+   * @param maxBytes the bound in bytes of heap
+   */
+  ClientMemoryBudget(EventLoop loop, String contents, long maxBytes) {
     this.loop = loop;
+    this.contents = contents;
     this.maxBytes = maxBytes;
   }
 
+  /** Creates the budget for incomplete requests and requests sent ahead. */
+  static ClientMemoryBudget forIncomingRequests(EventLoop loop) {
+    return new ClientMemoryBudget(loop, "incomplete requests", MAX_INCOMING_BYTES);
+  }
+
+  /** Creates the budget for requests in progress, until their answers are sent. */
+  static ClientMemoryBudget forRequestsInProgress(EventLoop loop) {
+    long maxBytes = (long) (MAX_IN_PROGRESS_SHARE * Runtime.getRuntime().maxMemory());
+    return new ClientMemoryBudget(loop, "requests in progress", maxBytes);
+  }
+
+  /** Returns the bound in bytes of heap. */
+  public long maxBytes() {
+    return maxBytes;
+  }
+
+  /**
+   * Records what a new holder is expected to occupy, unless that exceeds the budget. Clients that
+   * do not read their answers make room first.
+   *
+   * @return whether it was recorded
+   */
+  public boolean reserve(Holder holder, long bytes) {
+    while (totalBytes + bytes > maxBytes && releaseLargest(ReleaseOrder.STALLED)) {
+      // Each pass releases one holder.
+    }
+    if (totalBytes + bytes > maxBytes) {
+      warn();
+      return false;
+    }
+    record(holder, bytes);
+    return true;
+  }
+
   /**
-   * Records how many bytes of heap a connection occupies now. If that exceeds the budget, the
-   * largest connections are released at the end of the turn.
+   * Records how many bytes of heap a holder occupies now. If that exceeds the budget, the largest
+   * holders are released at the end of the turn.
    */
-  void record(Holder holder, long bytes) {
+  public void record(Holder holder, long bytes) {
     Long before = bytes == 0 ? heldBytes.remove(holder) : heldBytes.put(holder, bytes);
     totalBytes += bytes - (before == null ? 0 : before);
-    boolean hasReleased = true;
-    while (totalBytes > maxBytes && hasReleased) {
-      hasReleased = releaseLargest();
+    while (totalBytes > maxBytes && releaseLargest(ReleaseOrder.SENDING)) {
+      // Each pass releases one holder.
     }
   }
 
-  private boolean releaseLargest() {
+  /** Releases the largest holder of the first release order up to {@code last}. */
+  private boolean releaseLargest(ReleaseOrder last) {
     Optional<Holder> largest =
         heldBytes.entrySet().stream()
-            .filter(entry -> entry.getKey().canRelease())
-            .max(Comparator.comparingLong(Map.Entry::getValue))
+            .filter(entry -> entry.getKey().releaseOrder().compareTo(last) <= 0)
+            .min(
+                Comparator.comparing(
+                        (Map.Entry<Holder, Long> entry) -> entry.getKey().releaseOrder())
+                    .thenComparing(Map.Entry.<Holder, Long>comparingByValue().reversed()))
             .map(Map.Entry::getKey);
     largest.ifPresent(this::release);
     return largest.isPresent();
@@ -81,13 +138,15 @@
       nextWarningAt = loop.now() + WARNING_INTERVAL_MS;
       LOG.log(
           Level.WARNING,
-          "Rejecting clients whose incomplete requests occupy most memory; limit for all clients: "
+          "Rejecting clients whose "
+              + contents
+              + " occupy most memory; limit for all clients: "
               + maxBytes
               + " bytes");
     }
   }
 
-  /** Returns how many bytes of heap all connections occupy. */
+  /** Returns how many bytes of heap all holders occupy. */
   long totalBytes() {
     return totalBytes;
   }
--- a/src/main/java/bitternpulley/net/Connection.java
+++ b/src/main/java/bitternpulley/net/Connection.java
@@ -285,6 +285,11 @@
     return closed ? 0 : writes.pendingBytes();
   }
 
+  /** Returns how long ago in ms the kernel last took queued bytes; 0 if none are queued. */
+  double msSinceWriteProgress() {
+    return writes.msSinceProgress();
+  }
+
   /** Returns whether this side is shut down and the peer's side is still open. */
   boolean isLingering() {
     return lingering && !closed;
--- a/src/main/java/bitternpulley/net/HttpClient.java
+++ b/src/main/java/bitternpulley/net/HttpClient.java
@@ -65,6 +65,9 @@
 
   /** Receives the outcome of a call, once; never called for a cancelled call. */
   public interface ResponseHandler {
+    /** Handles a change of the heap that the incomplete response occupies, in bytes. */
+    default void receiving(int heldBytes) {}
+
     /** Handles the response. */
     void response(Response response);
 
--- a/src/main/java/bitternpulley/net/HttpResponseEncoder.java
+++ b/src/main/java/bitternpulley/net/HttpResponseEncoder.java
@@ -2,13 +2,30 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 
 /** Encodes HTTP/1.1 responses. */
 final class HttpResponseEncoder {
+  /** Longer bodies are written from where they are, not copied behind the head. */
+  private static final int MAX_COPIED_BODY_BYTES = 16 * 1024;
+
   private HttpResponseEncoder() {}
 
-  /** Returns the bytes of a response, with {@code Connection: close} unless {@code keepAlive}. */
-  static ByteBuffer encode(HttpServer.Response response, boolean keepAlive) {
+  /**
+   * Returns the bytes of a response, with {@code Connection: close} unless {@code keepAlive}, as
+   * buffers to be written one after the other.
+   */
+  static List<ByteBuffer> encode(HttpServer.Response response, boolean keepAlive) {
+    ByteBuffer head = ascii(head(response, keepAlive));
+    ByteBuffer body = ByteBuffer.wrap(response.body());
+    if (body.remaining() > MAX_COPIED_BODY_BYTES) {
+      return List.of(head, body);
+    }
+    return List.of(
+        ByteBuffer.allocate(head.remaining() + body.remaining()).put(head).put(body).flip());
+  }
+
+  private static String head(HttpServer.Response response, boolean keepAlive) {
     StringBuilder text =
         new StringBuilder("HTTP/1.1 ")
             .append(response.status())
@@ -18,12 +35,7 @@
         .headers()
         .forEach((name, value) -> text.append("\r\n").append(name).append(": ").append(value));
     text.append("\r\nContent-Length: ").append(response.body().length);
-    text.append(keepAlive ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n");
-    ByteBuffer head = ascii(text.toString());
-    return ByteBuffer.allocate(head.remaining() + response.body().length)
-        .put(head)
-        .put(response.body())
-        .flip();
+    return text.append(keepAlive ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n").toString();
   }
 
   /** Returns the interim response to a client that sends {@code Expect: 100-continue}. */
--- a/src/main/java/bitternpulley/net/HttpServer.java
+++ b/src/main/java/bitternpulley/net/HttpServer.java
@@ -89,16 +89,16 @@
   private final Handler handler;
   private final int maxBodyBytes;
   private final Timeouts timeouts;
-  private final ClientMemoryBudget memoryBudget;
+  private final ClientMemory memory;
   private final HttpSessionRegistry sessions;
   private final DrainState drainState;
   private AcceptLoop acceptLoop;
   private boolean holdingBack;
 
-  /** Creates a server that has a memory budget of its own. */
+  /** Creates a server that has memory budgets of its own. */
   public HttpServer(
       EventLoop loop, int maxBodyBytes, int maxConnections, Timeouts timeouts, Handler handler) {
-    this(loop, maxBodyBytes, maxConnections, timeouts, new ClientMemoryBudget(loop), handler);
+    this(loop, maxBodyBytes, maxConnections, timeouts, ClientMemory.create(loop), handler);
   }
 
   /**
@@ -108,7 +108,7 @@
    * @param maxBodyBytes maximum size of a body
    * @param maxConnections maximum number of connections
    * @param timeouts the time limits of a connection
-   * @param memoryBudget bounds the memory of the clients of all servers that share it
+   * @param memory bounds the memory of the clients of all servers that share it
    * @param handler handles the requests
    */
   public HttpServer(
@@ -116,12 +116,12 @@
       int maxBodyBytes,
       int maxConnections,
       Timeouts timeouts,
-      ClientMemoryBudget memoryBudget,
+      ClientMemory memory,
       Handler handler) {
     this.loop = loop;
     this.maxBodyBytes = maxBodyBytes;
     this.timeouts = timeouts;
-    this.memoryBudget = memoryBudget;
+    this.memory = memory;
     this.handler = handler;
     this.sessions = new HttpSessionRegistry(maxConnections);
     this.drainState = new DrainState(loop);
@@ -266,7 +266,12 @@
   }
 
   ClientMemoryBudget memoryBudget() {
-    return memoryBudget;
+    return memory.incoming();
+  }
+
+  /** Returns the budget for requests in progress and responses. */
+  ClientMemoryBudget exchangeBudget() {
+    return memory.inProgress();
   }
 
   HttpSessionRegistry sessions() {
--- a/src/main/java/bitternpulley/net/HttpSession.java
+++ b/src/main/java/bitternpulley/net/HttpSession.java
@@ -2,6 +2,7 @@
 
 import java.lang.System.Logger.Level;
 import java.nio.ByteBuffer;
+import java.util.List;
 
 /**
  * One client connection: idle, receiving a request, handling one, or closing. It keeps reading in
@@ -22,15 +23,10 @@
    */
   private static final double RECHECK_AFTER_MS = 50;
 
-  /**
-   * Number of requests sent ahead after which the loop takes its other turns first, so that one
-   * client with many small requests does not delay the others.
-   */
-  private static final int MAX_REQUESTS_PER_TURN = 32;
-
   private final HttpServer server;
   private final HttpSessionRegistry sessions;
   private final ClientMemoryBudget memoryBudget;
+  private final ExchangeMemory exchangeMemory;
   private final DrainState drainState;
   private final EventLoop loop;
   private final Connection connection;
@@ -40,11 +36,8 @@
   private final PipelineBuffer pipeline = new PipelineBuffer();
   private boolean pipelineOverflowed;
 
-  /** Number of requests sent ahead that were started since the loop last took its other turns. */
-  private int requestsInTurn;
-
-  /** Whether buffered requests wait for a turn of their own. */
-  private boolean awaitsTurn;
+  /** Starts the requests sent ahead. */
+  private final RequestTurns turns;
 
   private HttpExchange exchange;
   private boolean closing;
@@ -63,15 +56,17 @@
     this.server = server;
     this.sessions = server.sessions();
     this.memoryBudget = server.memoryBudget();
+    this.exchangeMemory = new ExchangeMemory(server.exchangeBudget(), connection);
     this.drainState = server.drainState();
     this.loop = server.loop();
     this.connection = connection;
+    this.turns = new RequestTurns(loop);
     this.parser = new HttpParser(false, maxBodyBytes, aggregator);
     this.stateChangedAt = loop.now();
   }
 
   private boolean isIdle() {
-    return exchange == null && !awaitsTurn && parser.isBetweenMessages() && !closing;
+    return exchange == null && !turns.awaitsTurn() && parser.isBetweenMessages() && !closing;
   }
 
   private boolean isReceivingRequest() {
@@ -95,7 +90,7 @@
   boolean hasPendingWork() {
     return requestCount == 0
         || exchange != null
-        || awaitsTurn
+        || turns.awaitsTurn()
         || closing
         || !parser.isBetweenMessages()
         || !connection.hasWrittenAll();
@@ -103,7 +98,7 @@
 
   /** Returns whether a request is in progress or its response is not completely written. */
   boolean hasPendingResponse() {
-    return exchange != null || awaitsTurn || !connection.hasWrittenAll();
+    return exchange != null || turns.awaitsTurn() || !connection.hasWrittenAll();
   }
 
   /** Returns the rank of this session in the order of eviction. */
@@ -118,7 +113,7 @@
     if (isIdle() || connection.isLingering()) {
       return EvictionOrder.SILENT;
     }
-    return exchange != null || awaitsTurn || closing
+    return exchange != null || turns.awaitsTurn() || closing
         ? EvictionOrder.NEVER
         : EvictionOrder.INCOMPLETE;
   }
@@ -190,9 +185,10 @@
     send(server.handler().errorResponse(status, reason), false);
   }
 
-  /** Records the heap that this session occupies beside a request in progress. */
+  /** Records the heap that this session occupies. */
   private void recordHeldBytes() {
-    long bytes = incompleteBytes() + pipeline.capacity() + connection.unwrittenBytes();
+    exchangeMemory.update();
+    long bytes = incompleteBytes() + pipeline.capacity();
     if (bytes != heldBytes) {
       heldBytes = bytes;
       memoryBudget.record(this, bytes);
@@ -204,8 +200,10 @@
   }
 
   @Override
-  public boolean canRelease() {
-    return isReceivingRequest() || pipeline.size() > 0 || !connection.hasWrittenAll();
+  public ClientMemoryBudget.ReleaseOrder releaseOrder() {
+    return isReceivingRequest() || pipeline.size() > 0
+        ? ClientMemoryBudget.ReleaseOrder.PENDING
+        : ClientMemoryBudget.ReleaseOrder.NEVER;
   }
 
   @Override
@@ -215,8 +213,6 @@
       rejectAndClose(503, "too much is being sent at once");
     } else if (pipeline.size() > 0) {
       dropPipelined();
-    } else if (!connection.hasWrittenAll()) {
-      connection.close();
     }
     recordHeldBytes();
   }
@@ -236,7 +232,7 @@
   }
 
   private void parseRequests(ByteBuffer bytes) {
-    while (exchange == null && !awaitsTurn && bytes.hasRemaining() && !closing) {
+    while (exchange == null && !turns.awaitsTurn() && bytes.hasRemaining() && !closing) {
       parse(bytes);
     }
   }
@@ -277,28 +273,11 @@
     discardPipelined();
   }
 
-  /** Continues with buffered requests, now or in a later turn. */
-  private void continuePipelined() {
-    requestsInTurn++;
-    if (requestsInTurn < MAX_REQUESTS_PER_TURN) {
-      resumePipelined();
-    } else {
-      awaitsTurn = true;
-      loop.schedule(0, this::resumeInOwnTurn);
-    }
-  }
-
-  private void resumeInOwnTurn() {
-    awaitsTurn = false;
-    requestsInTurn = 0;
-    if (!closing && !connection.isClosed()) {
-      resumePipelined();
-      recordHeldBytes();
-    }
-  }
-
   /** Continues with the bytes that arrived while the last request was in progress. */
   private void resumePipelined() {
+    if (closing || connection.isClosed()) {
+      return;
+    }
     ByteBuffer buffered = pipeline.startReading();
     parseRequests(buffered);
     if (closing) {
@@ -308,6 +287,7 @@
     if (exchange == null && pipelineOverflowed) {
       rejectAndClose(413, "more was sent ahead than is kept");
     }
+    recordHeldBytes();
   }
 
   private void onHead(HttpHead head) {
@@ -341,6 +321,11 @@
       rejectAndClose(503, "clients are being sent away");
       return;
     }
+    if (!exchangeMemory.reserveRequest(body.length)) {
+      newExchange.reply(
+          server.handler().errorResponse(429, "requests in progress occupy too much memory"));
+      return;
+    }
     try {
       double unread = loop.now() - arrivedAt;
       server
@@ -359,8 +344,11 @@
    */
   void send(HttpServer.Response response, boolean keepAlive) {
     boolean staysOpen = keepAlive && server.keepsConnections();
-    connection.write(
-        HttpResponseEncoder.encode(response, staysOpen), () -> responseWritten(staysOpen));
+    List<ByteBuffer> buffers = HttpResponseEncoder.encode(response, staysOpen);
+    int last = buffers.size() - 1;
+    buffers.subList(0, last).forEach(bytes -> connection.write(bytes, () -> {}));
+    connection.write(buffers.get(last), () -> responseWritten(staysOpen));
+    exchangeMemory.requestAnswered();
     if (!staysOpen) {
       closing = true;
       connection.closeGracefully();
@@ -372,7 +360,7 @@
     exchange = null;
     stateChangedAt = loop.now();
     if (staysOpen && (pipeline.size() > 0 || pipelineOverflowed)) {
-      continuePipelined();
+      turns.startNext(this::resumePipelined);
     }
     recordHeldBytes();
     if (staysOpen) {
@@ -386,6 +374,7 @@
     aggregator.discard();
     parser.discard();
     memoryBudget.record(this, 0);
+    exchangeMemory.requestAnswered();
     if (exchange != null) {
       exchange.clientDisconnected();
     }
--- a/src/main/java/bitternpulley/net/PooledConnection.java
+++ b/src/main/java/bitternpulley/net/PooledConnection.java
@@ -10,6 +10,8 @@
   private final HttpClient client;
   private final EventLoop loop;
   private final HostPort address;
+  private final HttpMessageAggregator aggregator =
+      new HttpMessageAggregator(head -> {}, this::onMessage);
   private final HttpParser parser;
   private final Connection connection;
   private HttpClient.Request request;
@@ -17,6 +19,10 @@
   private boolean connected;
   private boolean written;
   private int useCount;
+
+  /** The heap that the incomplete response was last reported to occupy, in bytes. */
+  private int reportedBytes;
+
   private HttpClient.Response response;
   private boolean keepAlive;
 
@@ -30,8 +36,7 @@
     this.client = client;
     this.loop = loop;
     this.address = address;
-    parser =
-        new HttpParser(true, maxBodyBytes, new HttpMessageAggregator(head -> {}, this::onMessage));
+    parser = new HttpParser(true, maxBodyBytes, aggregator);
     connection = Connection.open(loop, address, connectTimeout, this, this::onConnected);
   }
 
@@ -43,6 +48,7 @@
   /** Starts a call; its request is written as soon as the connection is established. */
   void begin(HttpClient.Request newRequest, HttpClient.ResponseHandler newHandler) {
     useCount++;
+    reportedBytes = 0;
     request = newRequest;
     written = false;
     handler = newHandler;
@@ -92,6 +98,8 @@
         connection.close(); // no request is in progress
       } else if (parser.read(bytes) && response != null) {
         complete(bytes.hasRemaining());
+      } else {
+        reportHeldBytes();
       }
     } catch (HttpException exception) {
       fail(exception.getMessage());
@@ -99,6 +107,14 @@
     }
   }
 
+  private void reportHeldBytes() {
+    int heldBytes = aggregator.heldBytes();
+    if (heldBytes != reportedBytes) {
+      reportedBytes = heldBytes;
+      handler.receiving(heldBytes);
+    }
+  }
+
   private void onMessage(HttpHead head, byte[] body) {
     if (head.status() >= MIN_FINAL_STATUS) {
       response = new HttpClient.Response(head, body);
--- a/src/main/java/bitternpulley/net/WriteQueue.java
+++ b/src/main/java/bitternpulley/net/WriteQueue.java
@@ -11,16 +11,31 @@
 final class WriteQueue {
   private static final System.Logger LOG = System.getLogger(WriteQueue.class.getName());
 
-  /** Maximum number of queued bytes; a peer that reads too slowly for it is disconnected. */
+  /**
+   * Number of queued bytes beyond which nothing is added; a peer that reads too slowly for it is
+   * disconnected. A single write may be larger, as a long response is.
+   */
   private static final int MAX_PENDING_BYTES = 1 << 20;
 
+  /**
+   * Maximum number of bytes passed to the kernel at once. Bytes of the heap are copied to memory
+   * outside of it first, which the process has little of.
+   */
+  private static final int MAX_WRITE_BYTES = 64 * 1024;
+
   /** Interval at which a write that the kernel could not take at once is checked. */
   private static final double WRITE_POLL_MS = 4;
 
   /** Maximum time that one write waits for the peer to read. */
   private static final double WRITE_STALL_TIMEOUT_MS = 3000;
 
-  private record PendingWrite(ByteBuffer bytes, Runnable onWritten) {}
+  private record PendingWrite(ByteBuffer bytes, Runnable onWritten) {
+    /** Returns the bytes to pass to the kernel next. */
+    ByteBuffer nextPiece() {
+      int count = Math.min(bytes.remaining(), MAX_WRITE_BYTES);
+      return bytes.duplicate().limit(bytes.position() + count);
+    }
+  }
 
   private final EventLoop loop;
   private final AsynchronousByteChannel channel;
@@ -31,6 +46,7 @@
   private boolean closed;
   private int pendingBytes;
   private long completedWrites;
+  private double lastProgressAt;
 
   /**
    * Creates a queue that runs {@code onDrained} after each flush that leaves it empty, and {@code
@@ -49,10 +65,13 @@
    * when too many bytes are queued.
    */
   boolean add(ByteBuffer bytes, Runnable onWritten) {
-    pendingBytes += bytes.remaining();
     if (pendingBytes > MAX_PENDING_BYTES) {
       return false;
     }
+    if (pendingWrites.isEmpty()) {
+      lastProgressAt = loop.now();
+    }
+    pendingBytes += bytes.remaining();
     pendingWrites.add(new PendingWrite(bytes, onWritten));
     return true;
   }
@@ -73,7 +92,7 @@
     while (!writing && !closed && !pendingWrites.isEmpty()) {
       PendingWrite next = pendingWrites.peek();
       writing = true;
-      Future<Integer> result = channel.write(next.bytes);
+      Future<Integer> result = channel.write(next.nextPiece());
       recordProgress(next, result);
       if (writing) {
         pollWrite(next, result);
@@ -96,9 +115,12 @@
       return;
     }
     try {
-      pendingBytes -= result.get();
+      int count = result.get();
+      write.bytes.position(write.bytes.position() + count);
+      pendingBytes -= count;
       writing = false;
       completedWrites++;
+      lastProgressAt = loop.now();
       if (!write.bytes.hasRemaining()) {
         pendingWrites.poll();
         write.onWritten.run();
@@ -151,6 +173,11 @@
     return pendingBytes;
   }
 
+  /** Returns how long ago in ms the kernel last took queued bytes; 0 if none are queued. */
+  double msSinceProgress() {
+    return pendingWrites.isEmpty() ? 0 : loop.now() - lastProgressAt;
+  }
+
   /** Drops the queued writes; nothing is written afterwards. */
   void close() {
     closed = true;
--- a/src/main/java/bitternpulley/opensearch/PartHits.java
+++ b/src/main/java/bitternpulley/opensearch/PartHits.java
@@ -1,60 +1,42 @@
 package bitternpulley.opensearch;
 
-import bitternpulley.broker.Payload;
-import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
-import java.util.stream.StreamSupport;
 
 /**
- * The hits of one part.
+ * The hits of one part, as positions in the server's answer. As a tree of JSON nodes, short hits
+ * would occupy many times the bytes of the answer.
  *
- * @param total the number of matching documents; -1 if the server does not report it
- * @param isExact whether the total is exact; otherwise it is a lower bound
- * @param hits the best hits, in the order of the server's answer
+ * @param total the number of matching documents
+ * @param answer the body of the server's answer
+ * @param hits the best hits, in the order of the answer
  */
-record PartHits(long total, boolean isExact, List<JsonNode> hits) implements Payload {
-  private static final long UNKNOWN_TOTAL = -1;
+@SuppressWarnings("ArrayRecordComponent") // Never compared; a defensive copy would cost time.
+record PartHits(PartTotal total, byte[] answer, List<Hit> hits) {
+
+  /**
+   * One hit.
+   *
+   * @param score its score
+   * @param start the index of its first byte in the answer
+   * @param end the index behind its last byte
+   */
+  record Hit(double score, int start, int end) {}
 
   /**
    * Reads a server's answer to a part.
    *
    * @param answer the body of the answer
    * @param needsTotal whether an answer without a total is incomplete
-   * @return the hits; empty if the answer does not cover the whole part or its hits have no scores
+   * @return the hits; empty if the answer is not valid JSON in UTF-8, does not cover the whole part
+   *     or its hits have no scores
    */
-  static Optional<PartHits> read(JsonNode answer, boolean needsTotal) {
-    JsonNode hits = answer.path("hits");
-    if (isIncomplete(answer) || !areMergeable(hits.path("hits"))) {
-      return Optional.empty();
-    }
-    JsonNode total = hits.path("total");
-    JsonNode value = total.isObject() ? total.path("value") : total;
-    if (needsTotal && !value.isIntegralNumber()) {
+  static Optional<PartHits> read(byte[] answer, boolean needsTotal) {
+    try (PartHitsReader reader = new PartHitsReader(answer)) {
+      return reader.read(needsTotal);
+    } catch (IOException exception) {
       return Optional.empty();
     }
-    return Optional.of(
-        new PartHits(
-            value.isIntegralNumber() ? value.longValue() : UNKNOWN_TOTAL,
-            !"gte".equals(total.path("relation").asText("eq")),
-            StreamSupport.stream(hits.path("hits").spliterator(), false).toList()));
-  }
-
-  private static boolean isIncomplete(JsonNode answer) {
-    return answer.path("timed_out").asBoolean(false)
-        || answer.path("_shards").path("failed").asInt(0) > 0
-        || answer.path("terminated_early").asBoolean(false);
-  }
-
-  private static boolean areMergeable(JsonNode hits) {
-    if (!hits.isArray()) {
-      return false;
-    }
-    for (JsonNode hit : hits) {
-      if (!hit.path("_score").isNumber()) {
-        return false;
-      }
-    }
-    return true;
   }
 }
--- a/src/main/java/bitternpulley/opensearch/PartRequestEncoder.java
+++ b/src/main/java/bitternpulley/opensearch/PartRequestEncoder.java
@@ -3,17 +3,11 @@
 import bitternpulley.broker.Effect;
 import bitternpulley.net.HostPort;
 import bitternpulley.net.HttpClient;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 
 /** Encodes an attempt of a part as an HTTP request to its server. */
 final class PartRequestEncoder {
-  private static final ObjectMapper MAPPER = new ObjectMapper();
-
   /** Names a part of a search; servers return it with their answer. */
   private static final String OPAQUE_ID = "X-Opaque-Id";
 
@@ -21,7 +15,7 @@
 
   /** Returns the bytes of the request, head and body. */
   static ByteBuffer encode(Effect.StartAttempt attempt, HostPort address) {
-    Search search = PendingSearch.searchOf(attempt);
+    Search search = PendingSearch.of(attempt).search();
     Search.Part part = search.parts().get(attempt.partIndex());
     byte[] body = body(search, attempt.timeout());
     byte[] head = head(search, part, address, body.length).getBytes(StandardCharsets.US_ASCII);
@@ -30,7 +24,7 @@
 
   /** Returns the matcher of the response to an attempt, by the id that the request carried. */
   static HttpClient.ResponseMatcher responseMatcher(Effect.StartAttempt attempt) {
-    Search search = PendingSearch.searchOf(attempt);
+    Search search = PendingSearch.of(attempt).search();
     String expected = opaqueId(search, search.parts().get(attempt.partIndex()));
     return head -> {
       String received = head.header(OPAQUE_ID);
@@ -51,14 +45,14 @@
     return part.index() + "." + part.shard();
   }
 
+  /** Returns the body of the search, which is a JSON object with fields, with the timeout added. */
   private static byte[] body(Search search, double timeoutMs) {
-    ObjectNode body = search.body().deepCopy();
-    body.put("timeout", Math.max(1, Math.round(timeoutMs)) + "ms");
-    try {
-      return MAPPER.writeValueAsBytes(body);
-    } catch (IOException exception) {
-      throw new UncheckedIOException(exception);
-    }
+    String timeout = ",\"timeout\":\"" + Math.max(1, Math.round(timeoutMs)) + "ms\"}";
+    int endOfFields = search.body().length - 1;
+    return ByteBuffer.allocate(endOfFields + timeout.length())
+        .put(search.body(), 0, endOfFields)
+        .put(timeout.getBytes(StandardCharsets.US_ASCII))
+        .array();
   }
 
   private static String head(Search search, Search.Part part, HostPort address, int contentLength) {
--- a/src/main/java/bitternpulley/opensearch/PartResponseDecoder.java
+++ b/src/main/java/bitternpulley/opensearch/PartResponseDecoder.java
@@ -8,18 +8,21 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.MissingNode;
 import java.io.IOException;
+import java.util.Optional;
 
 /** Decodes a server's response to an attempt. */
 final class PartResponseDecoder {
+  /** Longer texts of errors are cut, because they are kept until the search is answered. */
+  private static final int MAX_TEXT_LENGTH = 2000;
+
   private PartResponseDecoder() {}
 
   /** Returns the event that reports the end of the attempt. */
   static Event decode(Effect.StartAttempt attempt, HttpClient.Response response) {
-    JsonNode body = body(response);
     if (response.status() == 200) {
-      return successEvent(attempt, body);
+      return successEvent(attempt, response.body());
     }
-    PartFailure failure = failure(response.status(), body.path("error"));
+    PartFailure failure = failure(response.status(), body(response).path("error"));
     if (response.status() == 400) {
       return new Event.RequestRejectedByServer(attempt.id(), failure);
     }
@@ -36,12 +39,15 @@
     }
   }
 
-  private static Event successEvent(Effect.StartAttempt attempt, JsonNode body) {
-    boolean needsTotal = PendingSearch.searchOf(attempt).countsTotalHits();
-    return PartHits.read(body, needsTotal)
-        .map(hits -> new Event.AttemptEnded(attempt.id(), Outcome.OK, hits))
-        .orElseGet(
-            () -> new Event.AttemptEnded(attempt.id(), Outcome.ERROR, PartFailure.incomplete()));
+  /** Merges the hits of the part into its search. */
+  private static Event successEvent(Effect.StartAttempt attempt, byte[] body) {
+    PendingSearch pending = PendingSearch.of(attempt);
+    Optional<PartHits> hits = PartHits.read(body, pending.search().countsTotalHits());
+    if (hits.isEmpty()) {
+      return new Event.AttemptEnded(attempt.id(), Outcome.ERROR, PartFailure.incomplete());
+    }
+    pending.merge(attempt.partIndex(), hits.get());
+    return new Event.AttemptEnded(attempt.id(), Outcome.OK, hits.get().total());
   }
 
   private static PartFailure failure(int status, JsonNode error) {
@@ -49,8 +55,12 @@
     JsonNode cause = rootCause.has("type") ? rootCause : error;
     return new PartFailure(
         status,
-        cause.path("type").asText("exception"),
-        cause.path("reason").asText("status " + status));
+        shortened(cause.path("type").asText("exception")),
+        shortened(cause.path("reason").asText("status " + status)));
+  }
+
+  private static String shortened(String text) {
+    return text.substring(0, Math.min(MAX_TEXT_LENGTH, text.length()));
   }
 
   /**
--- a/src/main/java/bitternpulley/opensearch/Search.java
+++ b/src/main/java/bitternpulley/opensearch/Search.java
@@ -1,6 +1,5 @@
 package bitternpulley.opensearch;
 
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
 
 /**
@@ -15,8 +14,10 @@
  * @param allowsPartialResults whether a partial answer is allowed
  * @param totalHitsLimit the number up to which matches are counted; negative for no count
  * @param idempotencyKey the client's idempotency key, or null
- * @param body the request body for each part, without the timeout
+ * @param body the request body for each part as JSON text, without the timeout; as a tree of nodes
+ *     it would occupy many times its length
  */
+@SuppressWarnings("ArrayRecordComponent") // Never compared; a defensive copy would cost time.
 record Search(
     String id,
     List<Part> parts,
@@ -27,11 +28,16 @@
     boolean allowsPartialResults,
     long totalHitsLimit,
     String idempotencyKey,
-    ObjectNode body) {
+    byte[] body) {
 
   /** One shard of one index. */
   record Part(String index, int shard) {}
 
+  /** The number of best hits that are needed to answer the search. */
+  int windowSize() {
+    return from + size;
+  }
+
   /** Whether the client gave a timeout. */
   boolean hasTimeout() {
     return timeoutMs >= 0;
--- a/src/main/java/bitternpulley/opensearch/SearchDecoder.java
+++ b/src/main/java/bitternpulley/opensearch/SearchDecoder.java
@@ -1,8 +1,11 @@
 package bitternpulley.opensearch;
 
 import bitternpulley.config.SearchConfiguration;
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -19,6 +22,7 @@
   /** Number up to which matches are counted unless the search sets another. */
   private static final long DEFAULT_TOTAL_HITS_LIMIT = 10_000;
 
+  private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final int DEFAULT_SIZE = 10;
   private static final int NO_TIMEOUT = -1;
   private static final int COUNT_NO_HITS = -1;
@@ -165,7 +169,7 @@
   }
 
   /** Returns the body for each part, which requests every hit that the merged window may hold. */
-  private static ObjectNode partBody(JsonNode body, int windowSize, long totalHitsLimit) {
+  private static byte[] partBody(JsonNode body, int windowSize, long totalHitsLimit) {
     ObjectNode partBody = ((ObjectNode) body).deepCopy();
     partBody.remove(HANDLED_KEYS);
     partBody.put("from", 0).put("size", windowSize);
@@ -174,7 +178,11 @@
     } else {
       partBody.put("track_total_hits", (int) Math.min(totalHitsLimit, Integer.MAX_VALUE));
     }
-    return partBody;
+    try {
+      return MAPPER.writeValueAsBytes(partBody);
+    } catch (JsonProcessingException exception) {
+      throw new UncheckedIOException(exception);
+    }
   }
 
   private List<SearchConfiguration.Index> indices(List<String> indexNames) {
--- a/src/main/java/bitternpulley/opensearch/SearchException.java
+++ b/src/main/java/bitternpulley/opensearch/SearchException.java
@@ -5,6 +5,9 @@
  * client.
  */
 final class SearchException extends RuntimeException {
+  /** The error type of a request for which there is not enough memory. */
+  static final String MEMORY_ERROR_TYPE = "circuit_breaking_exception";
+
   private static final long serialVersionUID = 1L;
 
   private final int status;
@@ -37,6 +40,22 @@
     return new SearchException(429, "rejected_execution_exception", reason);
   }
 
+  /** The search, or all searches together, would occupy too much memory. */
+  static SearchException tooLarge(long maxBytes) {
+    return new SearchException(429, MEMORY_ERROR_TYPE, tooLargeReason(maxBytes));
+  }
+
+  /** The search occupies too much memory, and a retry could have another effect. */
+  static SearchException tooLargeAfterStart(long maxBytes) {
+    return new SearchException(500, MEMORY_ERROR_TYPE, tooLargeReason(maxBytes));
+  }
+
+  private static String tooLargeReason(long maxBytes) {
+    return "Data too large: searches in progress and their answers occupy at most ["
+        + maxBytes
+        + "] bytes together";
+  }
+
   /** The HTTP status. */
   int status() {
     return status;
--- a/src/main/java/bitternpulley/opensearch/SearchFrontend.java
+++ b/src/main/java/bitternpulley/opensearch/SearchFrontend.java
@@ -4,6 +4,7 @@
 import bitternpulley.broker.Clock;
 import bitternpulley.config.SearchConfiguration;
 import bitternpulley.contracts.TenantIdentification;
+import bitternpulley.net.ClientMemoryBudget;
 import bitternpulley.net.HttpServer;
 import bitternpulley.routing.Router;
 import bitternpulley.routing.Settings;
@@ -17,6 +18,7 @@
   private final TenantResolver tenants;
   private final SearchSubmitter submitter;
   private final Clock clock;
+  private final ClientMemoryBudget memoryBudget;
 
   /**
    * Creates a front end.
@@ -28,6 +30,7 @@
    * @param clock the clock of the broker
    * @param instance the name of this instance
    * @param identification identifies the team of each search by the contracts in force
+   * @param memoryBudget bounds the heap that all searches in progress occupy
    */
   public SearchFrontend(
       Settings settings,
@@ -36,7 +39,9 @@
       SearchServers servers,
       Clock clock,
       String instance,
-      Supplier<TenantIdentification> identification) {
+      Supplier<TenantIdentification> identification,
+      ClientMemoryBudget memoryBudget) {
+    this.memoryBudget = memoryBudget;
     this.configuration = configuration;
     this.clock = clock;
     this.tenants = new TenantResolver(identification);
@@ -62,7 +67,12 @@
 
   @Override
   public HttpServer.Response errorResponse(int status, String reason) {
-    String type = status == 413 ? "content_too_long_exception" : "illegal_argument_exception";
+    String type =
+        switch (status) {
+          case 413 -> "content_too_long_exception";
+          case 429 -> SearchException.MEMORY_ERROR_TYPE;
+          default -> "illegal_argument_exception";
+        };
     return SearchResponse.error(new SearchException(status, type, reason)).toHttp();
   }
 
@@ -76,14 +86,27 @@
 
   private void search(
       SearchTarget target, SearchCaller caller, byte[] body, HttpServer.Exchange exchange) {
+    SearchMemoryScope memory = new SearchMemoryScope(memoryBudget);
     Runnable disconnectAction =
         submitter.submit(
             target.indices(),
             target.parameters(),
             caller,
             SearchBodies.parseSingle(body),
-            response -> exchange.reply(response.toHttp()));
-    exchange.onDisconnect(disconnectAction);
+            memory,
+            response -> reply(exchange, response, memory));
+    exchange.onDisconnect(
+        () -> {
+          disconnectAction.run();
+          memory.close();
+        });
+  }
+
+  /** Sends a response; from then on, the connection accounts for it. */
+  private static void reply(
+      HttpServer.Exchange exchange, SearchResponse response, SearchMemoryScope memory) {
+    exchange.reply(response.toHttp());
+    memory.close();
   }
 
   /** Submits the searches of a multi-search, each of which can fail independently. */
@@ -91,16 +114,21 @@
       SearchTarget target, SearchCaller caller, byte[] body, HttpServer.Exchange exchange) {
     List<SearchBodies.Entry> entries = SearchBodies.parseMulti(body, configuration.maxSearches());
     double startedAt = clock.now();
+    SearchMemoryScope memory = new SearchMemoryScope(memoryBudget);
     MultiSearchReply reply =
         new MultiSearchReply(
             entries.size(),
             () -> clock.now() - startedAt,
-            response -> exchange.reply(response.toHttp()));
+            response -> reply(exchange, response, memory));
     List<Runnable> disconnectActions = new ArrayList<>();
     for (int position = 0; position < entries.size(); position++) {
-      disconnectActions.add(submit(entries.get(position), position, target, caller, reply));
+      disconnectActions.add(submit(entries.get(position), position, target, caller, memory, reply));
     }
-    exchange.onDisconnect(() -> disconnectActions.forEach(Runnable::run));
+    exchange.onDisconnect(
+        () -> {
+          disconnectActions.forEach(Runnable::run);
+          memory.close();
+        });
   }
 
   /** Submits one search of a multi-search; returns the action to run on a client disconnect. */
@@ -109,6 +137,7 @@
       int position,
       SearchTarget target,
       SearchCaller caller,
+      SearchMemoryScope memory,
       MultiSearchReply reply) {
     try {
       return submitter.submit(
@@ -116,6 +145,7 @@
           entry.parameters(),
           caller.forSearch(position),
           entry.body(),
+          memory,
           response -> reply.add(position, response));
     } catch (SearchException exception) {
       reply.add(position, SearchResponse.error(exception));
--- a/src/main/java/bitternpulley/opensearch/SearchResponse.java
+++ b/src/main/java/bitternpulley/opensearch/SearchResponse.java
@@ -24,17 +24,19 @@
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final JsonNodeFactory JSON = JsonNodeFactory.instance;
   private static final double MS_PER_SECOND = 1000;
+  private static final long MIN_RETRY_AFTER_SECONDS = 1;
 
   /**
    * Returns the response for an answer of the broker.
    *
    * @param search the search
+   * @param topHits the merged hits of the parts that have arrived
    * @param answer the broker's answer to the search
    * @param elapsedMs ms since the search was received
    */
-  static SearchResponse of(Search search, Answer answer, double elapsedMs) {
+  static SearchResponse of(Search search, TopHits topHits, Answer answer, double elapsedMs) {
     if (answer instanceof Answer.Answered answered) {
-      return answered(search, answered, elapsedMs);
+      return answered(search, topHits, answered, elapsedMs);
     }
     if (answer instanceof Answer.InvalidRequest invalid) {
       PartFailure failure = (PartFailure) invalid.reason();
@@ -56,7 +58,8 @@
     ObjectNode body = JSON.objectNode();
     body.set("error", error);
     body.put("status", exception.status());
-    return new SearchResponse(exception.status(), body, 0);
+    long retryAfterSeconds = exception.status() == 429 ? MIN_RETRY_AFTER_SECONDS : 0;
+    return new SearchResponse(exception.status(), body, retryAfterSeconds);
   }
 
   /** Converts this response to an HTTP response. */
@@ -69,8 +72,20 @@
     if (retryAfterSeconds > 0) {
       headers.put("Retry-After", String.valueOf(retryAfterSeconds));
     }
+    return new HttpServer.Response(status, headers, encodedBody());
+  }
+
+  /**
+   * Returns the body. It is encoded twice, first to determine its length, because a buffer that
+   * grows would occupy several times the heap of a long body.
+   */
+  private byte[] encodedBody() {
     try {
-      return new HttpServer.Response(status, headers, MAPPER.writeValueAsBytes(body));
+      LengthCounter counter = new LengthCounter();
+      MAPPER.writeValue(counter, body);
+      FixedLengthOutput output = new FixedLengthOutput(counter.length());
+      MAPPER.writeValue(output, body);
+      return output.bytes();
     } catch (IOException exception) {
       throw new UncheckedIOException(exception);
     }
@@ -85,7 +100,8 @@
       return rejectedByContract(rejected.contract());
     }
     SearchResponse response = error(SearchException.rejected("refused: nothing of it has run"));
-    return response.withRetryAfter(Math.max(1, roundedUpToSeconds(rejected.retryAfter())));
+    return response.withRetryAfter(
+        Math.max(MIN_RETRY_AFTER_SECONDS, roundedUpToSeconds(rejected.retryAfter())));
   }
 
   private static SearchResponse rejectedByContract(AdmissionDecision.Rejected decision) {
@@ -128,13 +144,14 @@
     return response;
   }
 
-  private static SearchResponse answered(Search search, Answer.Answered answer, double elapsedMs) {
+  private static SearchResponse answered(
+      Search search, TopHits topHits, Answer.Answered answer, double elapsedMs) {
     boolean timedOut =
         answer.missing().values().stream().anyMatch(SearchResponse::isMissingForLackOfTime);
     ObjectNode body =
         JSON.objectNode().put("took", Math.round(elapsedMs)).put("timed_out", timedOut);
     body.set("_shards", shards(search, answer));
-    body.set("hits", HitMerger.merge(search, answer.values()));
+    body.set("hits", HitMerger.merge(search, topHits, answer.values().values()));
     return new SearchResponse(200, body, 0);
   }
 
--- a/src/main/java/bitternpulley/opensearch/SearchServers.java
+++ b/src/main/java/bitternpulley/opensearch/SearchServers.java
@@ -5,6 +5,7 @@
 import bitternpulley.broker.Effect;
 import bitternpulley.broker.Event;
 import bitternpulley.broker.ProtocolAdapter;
+import bitternpulley.config.SearchConfiguration;
 import bitternpulley.net.EventLoop;
 import bitternpulley.net.HostPort;
 import bitternpulley.net.HttpClient;
@@ -24,10 +25,16 @@
   private final Broker broker;
   private final HttpClient client;
   private final int port;
+  private final PartSizeEstimates partSizes;
   private final Map<String, HostPort> addresses = new HashMap<>();
   private final Map<AttemptId, InFlightAttempt> inFlight = new LinkedHashMap<>();
 
-  private record InFlightAttempt(String server, HttpClient.Call call) {
+  private record InFlightAttempt(String server, HttpClient.Call call, AttemptListener listener) {
+    void cancel() {
+      call.cancel();
+      listener.received();
+    }
+
     boolean isUnsent() {
       return !call.mayHaveBeenSent();
     }
@@ -43,13 +50,24 @@
    * @param loop the event loop; all methods are called on its thread
    * @param broker receives an event at the end of each attempt
    * @param client the HTTP client, with the connections to the servers
-   * @param port the port on which each server offers the search API
+   * @param configuration the configuration of the API
    */
-  public SearchServers(EventLoop loop, Broker broker, HttpClient client, int port) {
+  public SearchServers(
+      EventLoop loop, Broker broker, HttpClient client, SearchConfiguration configuration) {
     this.loop = loop;
     this.broker = broker;
     this.client = client;
-    this.port = port;
+    this.port = configuration.serverPort();
+    this.partSizes = new PartSizeEstimates(configuration.maxPartBytes());
+  }
+
+  /** Returns the length in bytes that the answer to a part of a search is expected to have. */
+  long expectedPartBytes(Search search) {
+    return (long)
+        search.parts().stream()
+            .mapToLong(part -> partSizes.expectedBytes(part.index(), search.windowSize()))
+            .average()
+            .orElseThrow();
   }
 
   /** Records the host of a server; the port of the given address is not used. */
@@ -73,22 +91,24 @@
   @Override
   public void start(Effect.StartAttempt attempt) {
     HostPort address = addresses.get(attempt.server());
-    HttpClient.Call call = address == null ? null : send(attempt, address);
+    AttemptListener listener = new AttemptListener(attempt);
+    HttpClient.Call call = address == null ? null : send(attempt, address, listener);
     if (call == null) {
       submitDeferred(new Event.AttemptEnded(attempt.id(), Outcome.UNREACHABLE, null));
     } else {
-      inFlight.put(attempt.id(), new InFlightAttempt(attempt.server(), call));
+      inFlight.put(attempt.id(), new InFlightAttempt(attempt.server(), call, listener));
     }
   }
 
   /** Sends an attempt; null if no more connections can be opened. */
-  private HttpClient.Call send(Effect.StartAttempt attempt, HostPort address) {
+  private HttpClient.Call send(
+      Effect.StartAttempt attempt, HostPort address, AttemptListener listener) {
     HttpClient.Request request =
         new HttpClient.Request(
             PartRequestEncoder.encode(attempt, address),
             attempt.sendBy(),
             PartRequestEncoder.responseMatcher(attempt));
-    return client.send(address, request, new AttemptListener(attempt));
+    return client.send(address, request, listener);
   }
 
   /** Reports the end of one attempt to the broker, unless the attempt was already cancelled. */
@@ -99,15 +119,34 @@
       this.attempt = attempt;
     }
 
+    @Override
+    public void receiving(int heldBytes) {
+      PendingSearch.of(attempt).memory().receiving(attempt.partIndex(), heldBytes);
+    }
+
+    /** Records that nothing more is received. */
+    private void received() {
+      PendingSearch.of(attempt).memory().receiving(attempt.partIndex(), 0);
+    }
+
     @Override
     public void response(HttpClient.Response response) {
+      received();
       if (inFlight.remove(attempt.id()) != null) {
+        recordSize(response.body().length);
         broker.submit(PartResponseDecoder.decode(attempt, response));
       }
     }
 
+    private void recordSize(int bytes) {
+      Search search = PendingSearch.of(attempt).search();
+      String index = search.parts().get(attempt.partIndex()).index();
+      partSizes.record(index, search.windowSize(), bytes);
+    }
+
     @Override
     public void failed(HttpClient.Failure failure, String reason) {
+      received();
       if (inFlight.remove(attempt.id()) != null) {
         broker.submit(
             new Event.AttemptEnded(
@@ -133,7 +172,7 @@
   public void cancel(Effect.CancelAttempt attempt) {
     InFlightAttempt cancelled = inFlight.remove(attempt.id());
     if (cancelled != null) {
-      cancelled.call().cancel();
+      cancelled.cancel();
       broker.submit(new Event.AttemptCancelled(attempt.id()));
     }
   }
@@ -143,7 +182,7 @@
     InFlightAttempt candidate = inFlight.get(attempt.id());
     if (candidate != null && candidate.isUnsent()) {
       inFlight.remove(attempt.id());
-      candidate.call().cancel();
+      candidate.cancel();
       submitDeferred(new Event.AttemptEnded(attempt.id(), Outcome.NOT_SENT, null));
     }
   }
@@ -156,7 +195,7 @@
             .map(Map.Entry::getKey)
             .toList();
     for (AttemptId attempt : unsent) {
-      inFlight.remove(attempt).call().cancel();
+      inFlight.remove(attempt).cancel();
       broker.submit(new Event.AttemptEnded(attempt, Outcome.NOT_SENT, null));
     }
   }
--- a/src/main/java/bitternpulley/opensearch/SearchSubmitter.java
+++ b/src/main/java/bitternpulley/opensearch/SearchSubmitter.java
@@ -3,7 +3,6 @@
 import bitternpulley.broker.Broker;
 import bitternpulley.broker.Clock;
 import bitternpulley.broker.Event;
-import bitternpulley.broker.ProtocolAdapter;
 import bitternpulley.broker.Request;
 import bitternpulley.routing.Router;
 import bitternpulley.routing.Settings;
@@ -18,7 +17,7 @@
   private final SearchDecoder decoder;
   private final TenantResolver tenants;
   private final Broker broker;
-  private final ProtocolAdapter servers;
+  private final SearchServers servers;
   private final Clock clock;
   private final String instance;
 
@@ -38,7 +37,7 @@
       SearchDecoder decoder,
       TenantResolver tenants,
       Broker broker,
-      ProtocolAdapter servers,
+      SearchServers servers,
       Clock clock,
       String instance) {
     this.settings = settings;
@@ -57,6 +56,7 @@
    * @param parameters the parameters given in the URL or, for a multi-search, in the header line
    * @param caller the sender of the search
    * @param body the body
+   * @param scope the memory of the HTTP request that the search belongs to
    * @param onResponse called once, with the response
    * @return the action to run when the client disconnects
    * @throws SearchException if the search cannot be answered; nothing is submitted then
@@ -66,21 +66,45 @@
       Map<String, String> parameters,
       SearchCaller caller,
       JsonNode body,
+      SearchMemoryScope scope,
       Consumer<SearchResponse> onResponse) {
     long id = broker.nextRequestId();
     double startedAt = clock.now();
     Search search =
         decoder.decode(instance + "-" + id, caller.idempotencyKey(), indexNames, parameters, body);
     validate(search);
+    SearchMemory memory =
+        scope.open(
+            search,
+            servers.expectedPartBytes(search),
+            () -> cancelTooLarge(id, search, scope.maxBytes(), onResponse));
+    TopHits topHits = new TopHits(search.windowSize());
     PendingSearch pending =
         new PendingSearch(
             search,
-            answer ->
-                onResponse.accept(SearchResponse.of(search, answer, clock.now() - startedAt)));
+            topHits,
+            memory,
+            answer -> {
+              memory.answered();
+              onResponse.accept(
+                  SearchResponse.of(search, topHits, answer, clock.now() - startedAt));
+            });
     broker.submit(new Event.RequestReceived(request(id, pending, caller)));
     return () -> broker.submit(new Event.ClientDisconnected(id));
   }
 
+  /** Cancels a search whose parts occupy too much memory, and responds. */
+  private void cancelTooLarge(
+      long id, Search search, long maxBytes, Consumer<SearchResponse> onResponse) {
+    broker.submit(new Event.ClientDisconnected(id));
+    boolean mayRetry = queryClass(search).idempotency() == Settings.Idempotency.IDEMPOTENT;
+    onResponse.accept(
+        SearchResponse.error(
+            mayRetry
+                ? SearchException.tooLarge(maxBytes)
+                : SearchException.tooLargeAfterStart(maxBytes)));
+  }
+
   private Settings.QueryClass queryClass(Search search) {
     return settings.classes().get(search.queryClass());
   }
--- a/src/main/java/bitternpulley/opensearch/TenantResolver.java
+++ b/src/main/java/bitternpulley/opensearch/TenantResolver.java
@@ -67,7 +67,7 @@
     if (identification.get() == TenantIdentification.NONE) {
       return NO_FINGERPRINT;
     }
-    String text = search.parts() + search.body().toString();
+    String text = search.parts() + new String(search.body(), StandardCharsets.UTF_8);
     return QueryFingerprint.of(text.getBytes(StandardCharsets.UTF_8), search.queryClass());
   }
 }
--- a/src/test/java/bitternpulley/net/ClientMemoryBudgetTest.java
+++ b/src/test/java/bitternpulley/net/ClientMemoryBudgetTest.java
@@ -30,8 +30,9 @@
 
   private void listenWithBudget(long maxBytes) throws IOException {
     loop = new EventLoop();
-    budget = new ClientMemoryBudget(loop, maxBytes);
-    server = new HttpServer(loop, 64 * 1024, 1000, HttpServer.Timeouts.DEFAULT, budget, this);
+    budget = new ClientMemoryBudget(loop, "requests", maxBytes);
+    ClientMemory memory = new ClientMemory(budget, budget);
+    server = new HttpServer(loop, 64 * 1024, 1000, HttpServer.Timeouts.DEFAULT, memory, this);
     address = server.listen(new HostPort("127.0.0.1", 0));
   }
 
--- a/src/test/java/bitternpulley/opensearch/SearchResponseTest.java
+++ b/src/test/java/bitternpulley/opensearch/SearchResponseTest.java
@@ -9,6 +9,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -34,12 +35,16 @@
         true,
         totalHitsLimit,
         null,
-        JSON.createObjectNode());
+        "{}".getBytes(StandardCharsets.UTF_8));
   }
 
-  private static PartHits part(String total, String... hits) throws IOException {
+  private static byte[] bytes(String text) {
+    return text.replace('\'', '"').getBytes(StandardCharsets.UTF_8);
+  }
+
+  private static PartHits part(String total, String... hits) {
     return PartHits.read(
-            json(
+            bytes(
                 "{'timed_out':false,'_shards':{'failed':0},'hits':{'total':"
                     + total
                     + ",'hits':["
@@ -49,28 +54,62 @@
         .orElseThrow();
   }
 
-  private static SearchResponse answered(long totalHitsLimit, Payload first, Payload second) {
-    return SearchResponse.of(
-        search(totalHitsLimit),
-        new Answer.Answered(true, Map.of(0, first, 1, second), Map.of()),
-        7);
+  private static JsonNode answered(long totalHitsLimit, PartHits first, PartHits second)
+      throws IOException {
+    Search search = search(totalHitsLimit);
+    TopHits topHits = new TopHits(search.windowSize());
+    topHits.add(1, second); // the order of arrival does not matter
+    topHits.add(0, first);
+    Map<Integer, Payload> values = Map.of(0, first.total(), 1, second.total());
+    SearchResponse response =
+        SearchResponse.of(search, topHits, new Answer.Answered(true, values, Map.of()), 7);
+    return JSON.readTree(response.toHttp().body());
   }
 
-  private static void assertTotal(SearchResponse response, String expected) throws IOException {
-    assertEquals(response.body().at("/hits/total").toString(), json(expected).toString());
+  private static void assertTotal(JsonNode response, String expected) throws IOException {
+    assertEquals(response.at("/hits/total").toString(), json(expected).toString());
   }
 
   @Test
   public void breaksTiesByPartThenPosition() throws IOException {
-    SearchResponse response =
+    JsonNode response =
         answered(
             100,
             part("{'value':2,'relation':'eq'}", "{'_id':'x','_score':2}", "{'_id':'y','_score':1}"),
             part("2", "{'_id':'z','_score':2.0}", "{'_id':'w','_score':1}"));
-    assertEquals(response.body().at("/hits/hits").findValuesAsText("_id"), List.of("x", "z", "y"));
+    assertEquals(response.at("/hits/hits").findValuesAsText("_id"), List.of("x", "z", "y"));
     assertTotal(response, "{'value':4,'relation':'eq'}");
   }
 
+  /** Numbers with many digits, white space and characters outside of ASCII stay as they are. */
+  @Test
+  public void passesHitsOnAsTheServerSentThem() throws IOException {
+    String hit =
+        "{'_score': 1.5, '_source':{'n':12345678901234567890.123456789,'t':'\u062e\\u062e'}}";
+    Search search = search(100);
+    TopHits topHits = new TopHits(search.windowSize());
+    topHits.add(0, part("1", hit));
+    SearchResponse response =
+        SearchResponse.of(
+            search,
+            topHits,
+            new Answer.Answered(true, Map.of(0, new PartTotal(1, true)), Map.of()),
+            7);
+    String body = new String(response.toHttp().body(), StandardCharsets.UTF_8);
+    assertTrue(body.contains(hit.replace('\'', '"')), body);
+  }
+
+  @Test
+  public void keepsOnlyTheBestHits() {
+    TopHits topHits = new TopHits(2);
+    for (int part = 0; part < 50; part++) {
+      topHits.add(
+          part, part("1", "{'_id':'a" + part + "','_score':" + part + "}", "{'_score':0.5}"));
+    }
+    assertEquals(topHits.from(0).stream().map(RankedHit::score).toList(), List.of(49.0, 48.0));
+    assertTrue(topHits.heapBytes() < 300, "bytes: " + topHits.heapBytes());
+  }
+
   @Test
   public void reportsTotalAsLowerBoundWhenNotExact() throws IOException {
     PartHits lowerBound = part("{'value':50,'relation':'gte'}");
@@ -87,18 +126,22 @@
       {"{'hits':{'hits':[]}}"},
       {"{'hits':{'total':1,'hits':[{'_id':'a','_score':null}]}}"},
       {"{'hits':{'total':1}}"},
+      {"{'hits':{'total':1,'hits':[{'_id':'a','_source':{'_score':1}}]}}"},
+      {"{'hits':{'total':1,'hits':[{'_id':'a','_score':1,'_id':'b'}]}}"},
+      {"{'hits':{'total':1,'hits':[{'_id':'a','_score':1}]}"},
+      {"{'hits':{'total':1,'hits':[{'_id':'a','_score':1}]}}{}"},
       {"{}"}
     };
   }
 
   @Test(dataProvider = "incompleteAnswers")
-  public void rejectsIncompleteAnswer(String text) throws IOException {
-    assertEquals(PartHits.read(json(text), true), Optional.empty());
+  public void rejectsIncompleteAnswer(String text) {
+    assertEquals(PartHits.read(bytes(text), true), Optional.empty());
   }
 
   @Test
-  public void acceptsAnswerWithoutTotalThatWasNotRequested() throws IOException {
-    assertTrue(PartHits.read(json("{'hits':{'hits':[]}}"), false).isPresent());
+  public void acceptsAnswerWithoutTotalThatWasNotRequested() {
+    assertTrue(PartHits.read(bytes("{'hits':{'hits':[]}}"), false).isPresent());
   }
 
   private static final Answer.MissingPart FAILED_PART =
@@ -110,11 +153,12 @@
 
   private static SearchResponse rejected(boolean timedOut, boolean mayHaveRun) {
     return SearchResponse.of(
-        search(1), new Answer.Rejected(1200, finalState(timedOut, mayHaveRun)), 7);
+        search(1), new TopHits(3), new Answer.Rejected(1200, finalState(timedOut, mayHaveRun)), 7);
   }
 
   private static SearchResponse failed(boolean timedOut, boolean mayHaveRun) {
-    return SearchResponse.of(search(1), new Answer.Failed(finalState(timedOut, mayHaveRun)), 7);
+    return SearchResponse.of(
+        search(1), new TopHits(3), new Answer.Failed(finalState(timedOut, mayHaveRun)), 7);
   }
 
   @Test
--- a/src/test/java/bitternpulley/process/ClientMemoryProcessTest.java
+++ b/src/test/java/bitternpulley/process/ClientMemoryProcessTest.java
@@ -3,14 +3,12 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import bitternpulley.process.TestClient.Reply;
 import java.io.IOException;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntFunction;
 import org.testng.annotations.AfterMethod;
@@ -23,13 +21,6 @@
  */
 public class ClientMemoryProcessTest extends ProcessTest {
   private static final int CONCURRENT_CONNECTS = 30;
-  private static final int QUERIES = 12;
-  private static final int QUERY_INTERVAL_MS = 250;
-
-  /** A request has to get its final answer at the latest half a second after its time. */
-  private static final int QUERY_TIMEOUT_MS = 3000;
-
-  private static final int FINAL_ANSWER_MS = QUERY_TIMEOUT_MS + 500;
 
   private final List<Socket> holders = new ArrayList<>();
 
@@ -79,7 +70,7 @@
   public void answersQueriesWhileOthersHoldMemory(String form, int clients, String text)
       throws Exception {
     connectHolders(clients, number -> text);
-    for (int status : queryStatuses()) {
+    for (int status : SoundQueries.statuses(deployment)) {
       assertEquals(status, 200, form);
     }
     assertTrue(deployment.process.isAlive(), form);
@@ -95,7 +86,7 @@
     String ahead = "GET /-/healthy HTTP/1.1\r\n\r\n".repeat(9_000);
     connectHolders(
         40, number -> TestClient.queryRequest("slot-search", "ahead" + number, 3, 0) + ahead);
-    for (int status : queryStatuses()) {
+    for (int status : SoundQueries.statuses(deployment)) {
       assertTrue(status == 200 || status == 429, "status " + status);
     }
     assertTrue(deployment.process.isAlive());
@@ -132,32 +123,4 @@
       // The test closes the remaining sockets at its end.
     }
   }
-
-  /** Sends queries one after the other and returns the statuses of their final answers. */
-  private List<Integer> queryStatuses() throws Exception {
-    ExecutorService executor = Executors.newFixedThreadPool(QUERIES);
-    List<Future<Integer>> answers = new ArrayList<>();
-    for (int number = 0; number < QUERIES; number++) {
-      String id = "sound" + number;
-      int shard = 2 + number % (Deployment.CELLS - 2);
-      answers.add(executor.submit(() -> queryWithinTime(id, shard)));
-      TimeUnit.MILLISECONDS.sleep(QUERY_INTERVAL_MS);
-    }
-    executor.shutdown();
-    List<Integer> statuses = new ArrayList<>();
-    for (Future<Integer> answer : answers) {
-      statuses.add(answer.get());
-    }
-    return statuses;
-  }
-
-  private int queryWithinTime(String id, int shard) throws IOException {
-    try (Socket socket = TestClient.connect(deployment.listenAddress)) {
-      socket.setSoTimeout(FINAL_ANSWER_MS);
-      TestClient.send(
-          socket, TestClient.queryRequest("slot-search", id, QUERY_TIMEOUT_MS / 1000.0, shard));
-      Reply reply = TestClient.readReply(socket);
-      return reply.status();
-    }
-  }
 }
--- a/src/test/java/bitternpulley/process/FakeSlotServer.java
+++ b/src/test/java/bitternpulley/process/FakeSlotServer.java
@@ -64,6 +64,11 @@
   /** Whether answers to searches name the part that they belong to. */
   volatile boolean returnsOpaqueId = true;
 
+  /** Number of documents of each shard, and the bytes of text in each. */
+  volatile int documentsPerShard = 20;
+
+  volatile int documentBytes;
+
   /** The behavior for an index, which is empty for platform queries, and a shard. */
   volatile BiFunction<String, Integer, Behavior> behavior = (index, shard) -> Behavior.SERVE;
 
@@ -319,7 +324,7 @@
         "\r\n0\r\n\r\n" + (chosen == Behavior.TRAILING_BYTES ? "\0\1noise\r\n" : ""));
   }
 
-  private static ObjectNode searchResult(Behavior chosen, String index, int shard, JsonNode query) {
+  private ObjectNode searchResult(Behavior chosen, String index, int shard, JsonNode query) {
     ObjectNode body = Deployment.JSON.createObjectNode();
     body.put("took", 1).put("timed_out", chosen == Behavior.TIMED_OUT);
     body.putObject("_shards")
@@ -328,15 +333,20 @@
         .put("skipped", 0)
         .put("failed", 0);
     ObjectNode hits = body.putObject("hits");
-    hits.putObject("total").put("value", 20).put("relation", "eq");
+    hits.putObject("total").put("value", documentsPerShard).put("relation", "eq");
     ArrayNode documents = hits.putArray("hits");
-    // Each shard has 20 documents, whose scores interleave with those of the other shards.
-    for (int i = 0; i < Math.min(20, query.path("size").asInt(10)); i++) {
-      documents
-          .addObject()
-          .put("_index", index)
-          .put("_id", query.at("/query/term/donor").asText(index) + "-" + shard + "-" + i)
-          .put("_score", 100.0 - i - shard / 10.0);
+    String text = "x".repeat(documentBytes);
+    // The scores of the documents of each shard interleave with those of the other shards.
+    for (int i = 0; i < Math.min(documentsPerShard, query.path("size").asInt(10)); i++) {
+      ObjectNode document =
+          documents
+              .addObject()
+              .put("_index", index)
+              .put("_id", query.at("/query/term/donor").asText(index) + "-" + shard + "-" + i)
+              .put("_score", 100.0 - i - shard / 10.0);
+      if (!text.isEmpty()) {
+        document.putObject("_source").put("text", text);
+      }
     }
     return body;
   }
