An id that comes again does not run twice, here or at the other process

What callers saw: a query of a class that must not run twice ran again when its Request-Id came again after its client had closed the connection, after its answer, or at the process that takes over in a hot restart.

Cause: QueryFrontend dropped an id when its client left or was answered, while attempts under the same part ids could still be at their servers; two processes knew nothing of each other's ids.

Change: RequestIds keeps an id until the deadline of its request after its client has left or an answer that lacks parts, and for 60 s in a class that must not run twice unless nothing has run; a request under it gets 409. RequestIdTable holds the ids in 512 KiB, which with a passed socket is a file of the state directory that both processes map.

Attempts begun later than 100 ms after a close were not shown, before or after.

--- a/src/main/java/bitternpulley/aggregator/QueryService.java
+++ b/src/main/java/bitternpulley/aggregator/QueryService.java
@@ -1,8 +1,11 @@
 package bitternpulley.aggregator;
 
+import bitternpulley.config.Configuration;
 import bitternpulley.net.HttpServer;
 import bitternpulley.platform.QueryFrontend;
+import bitternpulley.platform.RequestIdMemory;
 import bitternpulley.platform.SlotServers;
+import java.nio.ByteBuffer;
 
 /**
  * The HTTP server for queries, and the connections over which their parts go to the slot servers.
@@ -28,8 +31,16 @@
             context.broker(),
             slotServers,
             state::isReadyForClients,
-            context.brokerConfiguration()::tenantIdentification);
+            context.brokerConfiguration()::tenantIdentification,
+            requestIdMemory(context.configuration().processSettings()));
     slotServers.setReplyHandler(queryFrontend::reply);
     return new QueryService(slotServers, context.newHttpServer(queryFrontend));
   }
+
+  /** Two processes with a passed socket serve the same clients during a hot restart. */
+  private static ByteBuffer requestIdMemory(Configuration.ProcessSettings process) {
+    return process.passedSocket() && process.stateDirectory().isPresent()
+        ? RequestIdMemory.shared(process.stateDirectory().get())
+        : RequestIdMemory.ofProcess();
+  }
 }
--- a/src/main/java/bitternpulley/platform/QueryFrontend.java
+++ b/src/main/java/bitternpulley/platform/QueryFrontend.java
@@ -11,11 +11,10 @@
 import bitternpulley.net.HttpServer;
 import bitternpulley.routing.Router;
 import bitternpulley.routing.Settings;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.HashSet;
 import java.util.Locale;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
@@ -36,8 +35,7 @@
   private final BooleanSupplier isReady;
   private final Supplier<TenantIdentification> tenantIdentification;
 
-  /** Ids of the requests that have no final answer yet. */
-  private final Set<String> pendingRequestIds = new HashSet<>();
+  private final RequestIds requestIds;
 
   /**
    * Creates a front end.
@@ -47,13 +45,17 @@
    * @param servers sends the attempts of the requests
    * @param isReady whether the readiness check succeeds
    * @param tenantIdentification returns the tenant identification of the contracts in force
+   * @param requestIdMemory remembers the ids of requests, see {@link RequestIdMemory}
    */
   public QueryFrontend(
       Settings settings,
       Broker broker,
       ProtocolAdapter servers,
       BooleanSupplier isReady,
-      Supplier<TenantIdentification> tenantIdentification) {
+      Supplier<TenantIdentification> tenantIdentification,
+      ByteBuffer requestIdMemory) {
+    this.requestIds =
+        new RequestIds(settings, new RequestIdTable(requestIdMemory, System::currentTimeMillis));
     this.settings = settings;
     this.broker = broker;
     this.servers = servers;
@@ -85,14 +87,13 @@
 
   private void submit(HttpServer.Request request, HttpServer.Exchange exchange) {
     PlatformQuery query = QueryCodec.decode(request, settings, exchange);
-    if (!pendingRequestIds.add(query.id())) {
-      // Part ids are derived from the request id, so parts of both requests would have the same id.
-      throw new HttpException(409, "Request-Id is that of an open request");
+    if (!requestIds.begin(query)) {
+      throw new HttpException(409, "Request-Id is that of an earlier request");
     }
     long id = broker.nextRequestId();
     exchange.onDisconnect(
         () -> {
-          pendingRequestIds.remove(query.id());
+          requestIds.clientDisconnected(query);
           broker.submit(new Event.ClientDisconnected(id));
         });
     broker.submit(
@@ -136,7 +137,7 @@
   /** Delivers the final answer to the client. */
   public void reply(Effect.Reply reply) {
     PlatformQuery query = (PlatformQuery) reply.request().payload();
-    pendingRequestIds.remove(query.id());
+    requestIds.answered(query, reply.answer());
     query.exchange().reply(response(reply));
   }
 
--- a/src/main/java/bitternpulley/platform/WarmupQueries.java
+++ b/src/main/java/bitternpulley/platform/WarmupQueries.java
@@ -106,7 +106,13 @@
             () -> time,
             (ms, task) -> scheduledTasks.add(new ScheduledTask(time + ms, task)));
     queryFrontend =
-        new QueryFrontend(settings, broker, this, () -> false, () -> TenantIdentification.NONE);
+        new QueryFrontend(
+            settings,
+            broker,
+            this,
+            () -> false,
+            () -> TenantIdentification.NONE,
+            RequestIdMemory.ofProcess());
     broker.addProtocolAdapter(this);
     broker.submit(
         new Event.ServersChanged(
