RequestIdTable: an entry is replaced only if it is still the one that was seen

Cause: the entry to replace was read again after the bucket had been searched. If the other process had put the same id there meanwhile, compare-and-set replaced it by itself and succeeded.

The value seen in the search is now the one that compare-and-set expects. Open by reading: if a third id's entry in the same bucket is freed between the two searches, both processes may still choose different entries.

--- a/src/main/java/bitternpulley/platform/RequestIdTable.java
+++ b/src/main/java/bitternpulley/platform/RequestIdTable.java
@@ -56,17 +56,20 @@
     long hash = hash(id);
     long entry = entry(hash, ms);
     while (true) {
-      int free = -1;
+      int first = 0;
+      long replaced = read(hash, 0);
       for (int index = 0; index < ENTRIES_PER_BUCKET; index++) {
         long present = read(hash, index);
         if (isSame(present, hash) && remainingUnits(present) > 0) {
           return false;
         }
-        free =
-            free < 0 || remainingUnits(present) < remainingUnits(read(hash, free)) ? index : free;
+        if (remainingUnits(present) < remainingUnits(replaced)) {
+          first = index;
+          replaced = present;
+        }
       }
-      long replaced = read(hash, free);
-      if (ENTRY.compareAndSet(memory, offset(hash, free), replaced, entry)) {
+      // Fails if another process has changed the entry since it was read, perhaps to the same id.
+      if (ENTRY.compareAndSet(memory, offset(hash, first), replaced, entry)) {
         return true;
       }
     }
--- a/src/test/java/bitternpulley/platform/RequestIdTableTest.java
+++ b/src/test/java/bitternpulley/platform/RequestIdTableTest.java
@@ -59,12 +59,13 @@
   }
 
   /** Two processes map the same memory; each id begins at one of them only. */
-  @Test
+  @Test(invocationCount = 50)
   public void givesEachIdToOneOfTwoProcesses() throws Exception {
+    ByteBuffer shared = ByteBuffer.allocateDirect(RequestIdTable.BYTES);
     AtomicInteger begun = new AtomicInteger();
     List<Thread> processes = new ArrayList<>();
     for (int process = 0; process < 2; process++) {
-      RequestIdTable own = new RequestIdTable(memory.duplicate(), () -> now);
+      RequestIdTable own = new RequestIdTable(shared.duplicate(), () -> now);
       Thread thread =
           new Thread(
               () -> {
