An unanswered watch of discovery is read on, so that a slow discovery is heard

Cause: DiscoveryWatch closed a watch 0.5 s after it began to connect, 1 s after that without a head, and 2.2 s without a first line, and the next one started with the same limits. In the record of the stand-in discovery answered 21 calls, one a second, each 1.2 s after it came and 0.2 s after the client had closed it.

DiscoveryProcessTest.stopsSendingToServerThatASlowDiscovery... red before; its fake discovery now serves its watches side by side.

--- a/src/main/java/bitternpulley/platform/DiscoveryWatch.java
+++ b/src/main/java/bitternpulley/platform/DiscoveryWatch.java
@@ -15,57 +15,43 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.Future;
 import java.util.function.Consumer;
 
 /**
  * One watch of discovery: a request whose chunked response stays open and carries endpoint lists.
- * This class decodes the lists and checks that the agent stays alive; {@link Discovery} decides how
- * to react.
+ * This class decodes the lists and reports whether lines arrive; {@link Discovery} decides how to
+ * react.
  */
 final class DiscoveryWatch implements Connection.Owner, HttpParser.Sink, JsonObjectStream.Sink {
   private static final System.Logger LOG = System.getLogger(DiscoveryWatch.class.getName());
 
-  private static final double CONNECT_TIMEOUT_MS = 500;
-
-  /**
-   * Maximum time until the response head is received, in ms; an agent normally responds at once.
-   */
-  private static final double RESPONSE_HEAD_TIMEOUT_MS = 1000;
-
-  /**
-   * Maximum time from the connection being established to the first list or blank line, in ms. The
-   * agent sends a blank line every 2 s.
-   */
-  private static final double FIRST_LINE_TIMEOUT_MS = 2200;
-
   /**
-   * Maximum time between lists or blank lines, in ms. A list counts as received 6 s after discovery
-   * sent it, which leaves time for three attempts to open another watch.
+   * Maximum time between lists or blank lines, in ms. The agent sends a blank line every 2 s. A
+   * list counts as received 6 s after discovery sent it, which leaves time for three attempts to
+   * open another watch.
    */
   private static final double LINE_TIMEOUT_MS = 3000;
 
   /** Receives the events of a watch. */
   interface Listener {
-    /**
-     * Returns whether this watch is still the newest one. Only the newest one has to be opened and
-     * checked for liveness.
-     */
-    boolean isCurrent(DiscoveryWatch watch);
-
     /** The last revision received by any watch. */
     long revision();
 
     /** A list was received. */
     void onEndpointList(DiscoveryWatch watch, EndpointList list);
 
-    /** A list or a blank line was received. */
-    void onAlive(DiscoveryWatch watch);
+    /** A list or a blank line was received, after {@link #onEndpointList} for a list. */
+    void onLine(DiscoveryWatch watch);
+
+    /** Bytes were received and processed; they may end within a list. */
+    void onReceived(DiscoveryWatch watch);
 
     /** The agent sent an invalid message; the watch closes. */
     void onInvalidMessage(DiscoveryWatch watch, RuntimeException defect);
 
-    /** A watch that had been alive received nothing within the timeout. */
-    void onUnresponsive(DiscoveryWatch watch);
+    /** A watch that had received a line received no further one within the timeout. */
+    void onSilent(DiscoveryWatch watch);
 
     /** The connection was closed, or could not be opened. */
     void onClosed(DiscoveryWatch watch);
@@ -77,11 +63,20 @@
   private final Listener listener;
   private final HttpParser parser = new HttpParser(true, Long.MAX_VALUE, this);
   private final JsonObjectStream objects = new JsonObjectStream(this);
+
+  /** Null until the watch is opened, and if no socket could be opened. */
   private Connection connection;
-  private boolean headReceived;
-  private boolean hasBeenAlive;
-  private double connectedAt;
-  private double lastAliveAt;
+
+  /** Closes the watch if it stays unanswered. */
+  private Future<?> answerTimer;
+
+  private double answerDeadline;
+  private boolean answered;
+  private double lastLineAt;
+  private boolean silenceCheckScheduled;
+
+  /** The last revision that this watch has received or, until then, asked for. */
+  private long revision;
 
   /**
    * Creates a watch that is not open.
@@ -98,23 +93,29 @@
     this.listener = listener;
   }
 
-  /** Connects, unless the watch has been replaced in the meantime. */
-  void open() {
-    if (!listener.isCurrent(this)) {
-      return;
-    }
+  /**
+   * Connects and sends the request.
+   *
+   * @param answerTimeout the time in ms after which the watch closes, whether or not it is
+   *     connected, unless it has received a line
+   */
+  void open(double answerTimeout) {
+    answerDeadline = loop.now() + answerTimeout;
     try {
-      connection = Connection.open(loop, agentAddress, CONNECT_TIMEOUT_MS, this, this::sendRequest);
+      connection = Connection.open(loop, agentAddress, answerTimeout, this, this::sendRequest);
+      answerTimer = loop.scheduleCancellable(answerTimeout, this::closeUnlessAnswered);
     } catch (UncheckedIOException failure) {
       LOG.log(
           Level.WARNING,
           "Cannot open a socket to discovery at " + agentAddress + ": " + failure.getMessage());
-      closed();
+      loop.execute(this::closed);
     }
   }
 
+  /** Closes the watch, if it is open. */
   void close() {
     if (connection != null) {
+      answerTimer.cancel(false);
       connection.close();
     }
   }
@@ -124,46 +125,52 @@
     return agentAddress;
   }
 
-  /** Whether the watch has received a list or a blank line. */
-  boolean hasBeenAlive() {
-    return hasBeenAlive;
+  /** The time of the loop in ms at which the watch closes if it is unanswered. */
+  double answerDeadline() {
+    return answerDeadline;
+  }
+
+  /** The last revision that this watch has received or, until then, asked for. */
+  long revision() {
+    return revision;
+  }
+
+  /** The number of bytes of a list that has not been received completely. */
+  int incompleteBytes() {
+    return objects.incompleteBytes();
   }
 
   private void sendRequest() {
+    revision = listener.revision();
     String request =
         "GET /api/targets?watch=1&from="
-            + listener.revision()
+            + revision
             + " HTTP/1.1\r\nHost: "
             + agentAddress
             + "\r\n\r\n";
     connection.write(ByteBuffer.wrap(request.getBytes(StandardCharsets.US_ASCII)), () -> {});
-    connectedAt = loop.now();
-    lastAliveAt = connectedAt;
-    scheduleLivenessCheck();
   }
 
-  /** Time by which the response head, or the next list or blank line, has to be received, in ms. */
-  private double livenessDeadline() {
-    if (hasBeenAlive) {
-      return lastAliveAt + LINE_TIMEOUT_MS;
+  private void closeUnlessAnswered() {
+    if (!answered) {
+      connection.close();
     }
-    return connectedAt + (headReceived ? FIRST_LINE_TIMEOUT_MS : RESPONSE_HEAD_TIMEOUT_MS);
   }
 
-  private void scheduleLivenessCheck() {
-    loop.schedule(livenessDeadline() - loop.now(), this::checkLiveness);
+  private void scheduleSilenceCheck() {
+    silenceCheckScheduled = true;
+    loop.schedule(lastLineAt + LINE_TIMEOUT_MS - loop.now(), this::checkSilence);
   }
 
-  private void checkLiveness() {
-    if (!listener.isCurrent(this) || connection.isClosed()) {
+  private void checkSilence() {
+    silenceCheckScheduled = false;
+    if (connection.isClosed()) {
       return;
     }
-    if (loop.now() < livenessDeadline()) {
-      scheduleLivenessCheck();
-    } else if (hasBeenAlive) {
-      listener.onUnresponsive(this);
+    if (loop.now() < lastLineAt + LINE_TIMEOUT_MS) {
+      scheduleSilenceCheck();
     } else {
-      connection.close();
+      listener.onSilent(this);
     }
   }
 
@@ -171,6 +178,7 @@
   public void received(ByteBuffer bytes) {
     try {
       parser.read(bytes);
+      listener.onReceived(this);
     } catch (HttpException | ConfigurationException | UncheckedIOException failure) {
       listener.onInvalidMessage(this, failure);
       connection.close();
@@ -182,7 +190,6 @@
     if (head.status() != 200) {
       throw new HttpException(502, "status " + head.status());
     }
-    headReceived = true;
   }
 
   @Override
@@ -192,7 +199,7 @@
 
   @Override
   public void blankLine() {
-    markAlive();
+    lineReceived();
   }
 
   @Override
@@ -206,9 +213,10 @@
                       + agentAddress
                       + ": "
                       + defect.getMessage());
-      listener.onEndpointList(
-          this, EndpointList.read(StrictJson.read(text), zones, onInvalidEntry));
-      markAlive();
+      EndpointList list = EndpointList.read(StrictJson.read(text), zones, onInvalidEntry);
+      revision = list.revision();
+      listener.onEndpointList(this, list);
+      lineReceived();
     } catch (IOException failure) {
       throw new UncheckedIOException(failure);
     }
@@ -218,10 +226,14 @@
    * Called only for complete and valid input: an agent may accept the watch and then stay silent or
    * send invalid data.
    */
-  private void markAlive() {
-    lastAliveAt = loop.now();
-    hasBeenAlive = true;
-    listener.onAlive(this);
+  private void lineReceived() {
+    lastLineAt = loop.now();
+    answered = true;
+    answerTimer.cancel(false);
+    if (!silenceCheckScheduled) {
+      scheduleSilenceCheck();
+    }
+    listener.onLine(this);
   }
 
   @Override
@@ -231,6 +243,9 @@
 
   @Override
   public void closed() {
+    if (answerTimer != null) {
+      answerTimer.cancel(false);
+    }
     listener.onClosed(this);
   }
 }
--- a/src/main/java/bitternpulley/platform/JsonObjectStream.java
+++ b/src/main/java/bitternpulley/platform/JsonObjectStream.java
@@ -43,6 +43,11 @@
     }
   }
 
+  /** Returns the number of bytes of an object that has not been received completely. */
+  int incompleteBytes() {
+    return text.size();
+  }
+
   private void readBetweenObjects(byte next) {
     if (next == '{') {
       depth = 1;
--- a/src/test/java/bitternpulley/process/DiscoveryProcessTest.java
+++ b/src/test/java/bitternpulley/process/DiscoveryProcessTest.java
@@ -104,6 +104,36 @@
     assertEquals(deployment.servers.get(2).requests.size(), 0);
   }
 
+  /**
+   * A discovery that took over a second to answer was asked again each second and never heard, so
+   * that work went on to a server that drains.
+   */
+  @Test
+  public void stopsSendingToServerThatASlowDiscoveryListsAsDraining() throws Exception {
+    deployment.close();
+    deployment = new Deployment();
+    FakeSlotServer draining = deployment.servers.get(2);
+    deployment.discovery.answerDelayNanos = 1_200_000_000;
+    deployment.discovery.initialList =
+        () -> FakeDiscovery.endpointList(false, List.of(draining), "draining").put("revision", 42);
+    deployment.startAndAwaitReady();
+    long readyAt = System.nanoTime();
+    Deployment.await("the drain to take effect", () -> serveTwentyQueriesWithout(draining));
+    long ms = (System.nanoTime() - readyAt) / 1_000_000;
+    assertTrue(ms < 6000, "the list counts as received 6 s after the start, not " + ms + " ms");
+  }
+
+  /** Whether twenty queries of the server's shards are served and none is sent to it. */
+  private boolean serveTwentyQueriesWithout(FakeSlotServer server) {
+    int requestsBefore = server.requests.size();
+    for (int i = 0; i < 20; i++) {
+      if (queryStatus("w", 1, 2) != 200) {
+        return false;
+      }
+    }
+    return server.requests.size() == requestsBefore;
+  }
+
   /** Guards against a watch that stays silent while its endpoint list counts as up to date. */
   @Test
   public void reopensSilentWatch() {
--- a/src/test/java/bitternpulley/process/FakeDiscovery.java
+++ b/src/test/java/bitternpulley/process/FakeDiscovery.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Supplier;
 
 /** A fake discovery service that sends endpoint lists to its watches over chunked HTTP. */
@@ -19,6 +20,9 @@
   /** Supplies the first list of each watch, which is sent once the call returns. */
   volatile Supplier<ObjectNode> initialList = () -> endpointList(false, List.of(), "up");
 
+  /** Time from the request of a watch to the head of its response. */
+  volatile long answerDelayNanos;
+
   private final List<Socket> watchConnections = new CopyOnWriteArrayList<>();
   private ServerSocket listener;
   private int revision = 41;
@@ -40,14 +44,19 @@
   private void acceptWatches(ServerSocket accepting) throws IOException {
     while (true) {
       Socket socket = accepting.accept();
-      String target = FakeSlotServer.readHead(socket.getInputStream())[0];
-      watchTargets.add(target);
-      TestClient.send(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-      sendChunk(socket, initialList.get() + "\n");
-      watchConnections.add(socket);
+      FakeSlotServer.runInDaemonThread(() -> answerWatch(socket));
     }
   }
 
+  private void answerWatch(Socket socket) throws IOException {
+    String target = FakeSlotServer.readHead(socket.getInputStream())[0];
+    watchTargets.add(target);
+    LockSupport.parkNanos(answerDelayNanos);
+    TestClient.send(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    sendChunk(socket, initialList.get() + "\n");
+    watchConnections.add(socket);
+  }
+
   private static void sendChunk(Socket socket, String text) throws IOException {
     TestClient.send(socket, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
   }
