Discovery: while one watch is unanswered, ended ones are not repeated at once

Seen with a stand-in: a crowded discovery that keeps one watch waiting and ends all others at once was asked again every 50 to 250 ms until it answered the first.

Cause: the backoff after the end of the newest watch did not consider the watches that are still open. It is for a discovery that has ended all watches, as its restart does.

Change: the next watch follows at the end of the interval while another one is open, and after the backoff once none is. Only watches that were still open at the end of their interval count for how long one may stay unanswered; else a discovery that ends every second one would leave short times to all others.

SlowDiscoveryTest.asksNoMoreOftenWhileAnotherWatchIsUnanswered: red before, green after; asksAgainSoonOnceAllUnansweredWatchesHaveEnded holds the other side.

--- a/src/main/java/bitternpulley/platform/Discovery.java
+++ b/src/main/java/bitternpulley/platform/Discovery.java
@@ -162,7 +162,10 @@
   }
 
   private void openWatchBesideUnanswered() {
-    schedule.recordUnanswered();
+    schedule.growInterval();
+    if (unanswered.contains(newest)) {
+      schedule.recordUnanswered();
+    }
     openWatch();
   }
 
@@ -311,7 +314,7 @@
         scheduleWatch(schedule.nextBackoff(), Discovery.this::openWatch);
       } else if (watch == replaced) {
         replaced = null;
-      } else if (unanswered.remove(watch) && watch == newest) {
+      } else if (unanswered.remove(watch) && unanswered.isEmpty()) {
         scheduleWatch(schedule.nextBackoff(), Discovery.this::openWatch);
       }
     }
--- a/src/main/java/bitternpulley/platform/WatchSchedule.java
+++ b/src/main/java/bitternpulley/platform/WatchSchedule.java
@@ -59,8 +59,8 @@
   private double interval;
   private double backoff;
 
-  /** Number of watches that were unanswered at the end of their interval. */
-  private long unansweredIntervals;
+  /** Number of watches that were open and unanswered at the end of their interval. */
+  private long unansweredWatches;
 
   WatchSchedule(Random random) {
     this.random = random;
@@ -71,21 +71,29 @@
   void reset() {
     interval = FIRST_INTERVAL_MS;
     backoff = MIN_BACKOFF_MS;
-    unansweredIntervals = 0;
+    unansweredWatches = 0;
   }
 
-  /** Records that the newest watch was unanswered at the end of its interval. */
-  void recordUnanswered() {
-    unansweredIntervals++;
+  /** Makes the next interval longer than the one that has ended. */
+  void growInterval() {
     interval = Math.min(INTERVAL_GROWTH * interval, MAX_INTERVAL_MS);
   }
 
-  /** Returns the time in ms after which another watch is opened if the newest is unanswered. */
+  /**
+   * Records that the newest watch was still unanswered at the end of its interval. Watches that
+   * discovery ended do not count: if it ended every second one, those that remain would all have
+   * short times to be answered.
+   */
+  void recordUnanswered() {
+    unansweredWatches++;
+  }
+
+  /** Returns the time in ms after which another watch is opened beside unanswered ones. */
   double interval() {
     return withJitter(interval, INTERVAL_JITTER_SHARE);
   }
 
-  /** Returns the time in ms after which the next watch is opened once the newest has ended. */
+  /** Returns the time in ms after which the next watch is opened once none is open any more. */
   double nextBackoff() {
     double current = withJitter(backoff, BACKOFF_JITTER_SHARE);
     backoff = Math.min(2 * backoff, MAX_BACKOFF_MS);
@@ -95,9 +103,9 @@
   /** Returns the time in ms for which the next watch may stay unanswered. */
   double answerTimeout() {
     long factor =
-        unansweredIntervals == 0
+        unansweredWatches == 0
             ? MAX_ANSWER_TIMEOUT_FACTOR
-            : Math.min(Long.lowestOneBit(unansweredIntervals), MAX_ANSWER_TIMEOUT_FACTOR);
+            : Math.min(Long.lowestOneBit(unansweredWatches), MAX_ANSWER_TIMEOUT_FACTOR);
     return MIN_ANSWER_TIMEOUT_MS * factor;
   }
 
--- a/src/test/java/bitternpulley/platform/SlowDiscoveryTest.java
+++ b/src/test/java/bitternpulley/platform/SlowDiscoveryTest.java
@@ -39,6 +39,9 @@
 
   private static final double COUNTS_AS_RECEIVED_AFTER_RELOAD_MS = 4000;
 
+  /** Longest time from the end of all watches to the next one, in ms. */
+  private static final double MAX_BACKOFF_MS = 250;
+
   /** Interval between the blank lines of a watch on which nothing changes, in ms. */
   private static final double HEARTBEAT_MS = 2000;
 
@@ -228,6 +231,43 @@
     }
   }
 
+  /** A crowded discovery may end the watches that it has no capacity for. */
+  @Test
+  public void asksNoMoreOftenWhileAnotherWatchIsUnanswered() throws Exception {
+    DiscoveryAgent.Answer onlyTheFirst =
+        (number, watch) -> {
+          if (number > 0) {
+            watch.close();
+            return;
+          }
+          pause(2 * SLOW_MS);
+          write(watch, HEAD + chunk(list(43)));
+        };
+    try (DiscoveryAgent agent = new DiscoveryAgent(onlyTheFirst)) {
+      new Client(agent).assertReceives(43, COUNTS_AS_RECEIVED_AFTER_MS);
+      assertTrue(agent.watches.size() <= 5, agent.watches.size() + " watches");
+    }
+  }
+
+  /** A restart of discovery ends all watches; the next one must not wait for the interval. */
+  @Test
+  public void asksAgainSoonOnceAllUnansweredWatchesHaveEnded() throws Exception {
+    DiscoveryAgent.Answer third =
+        (number, watch) -> {
+          if (number > 1) {
+            write(watch, HEAD + chunk(list(43)));
+          }
+        };
+    try (DiscoveryAgent agent = new DiscoveryAgent(third)) {
+      Client client = new Client(agent);
+      awaitWatches(agent, 2);
+      agent.watches.get(1).close();
+      pause(100);
+      agent.watches.get(0).close();
+      client.assertReceives(43, MAX_BACKOFF_MS + 200);
+    }
+  }
+
   /** A late answer is older than what is known by then. */
   @Test
   public void closesUnansweredWatchesOnceAnotherIsAnswered() throws Exception {
--- a/src/test/java/bitternpulley/platform/WatchScheduleTest.java
+++ b/src/test/java/bitternpulley/platform/WatchScheduleTest.java
@@ -24,6 +24,7 @@
     while (now < endMs) {
       attempts.add(new Attempt(now, now + schedule.answerTimeout()));
       now += schedule.interval();
+      schedule.growInterval();
       schedule.recordUnanswered();
     }
     return attempts;
