--- a/src/main/java/bitternpulley/platform/Discovery.java
+++ b/src/main/java/bitternpulley/platform/Discovery.java
@@ -150,7 +150,7 @@
     }
     newest = new DiscoveryWatch(loop, agentAddress, zones, watchListener);
     unanswered.add(newest);
-    scheduleWatch(schedule.interval(), this::openWatchBesideUnanswered);
+    scheduleWatch(schedule.interval(), this::openAnotherWatch);
     newest.open(schedule.answerTimeout());
   }
 
@@ -161,7 +161,7 @@
     closing.close();
   }
 
-  private void openWatchBesideUnanswered() {
+  private void openAnotherWatch() {
     schedule.growInterval();
     if (unanswered.contains(newest)) {
       schedule.recordUnanswered();
