--- a/src/test/java/bitternpulley/platform/SlowDiscoveryTest.java
+++ b/src/test/java/bitternpulley/platform/SlowDiscoveryTest.java
@@ -20,10 +20,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import java.util.concurrent.Future;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
@@ -113,23 +111,24 @@
   /** A watch that took longer than a fixed limit was given up and asked for again, without end. */
   @Test(dataProvider = "occasions")
   public void receivesTheListOfASlowDiscoveryInTime(Occasion occasion) throws Exception {
-    ExecutorService threads = Executors.newCachedThreadPool();
-    try {
-      List<Future<?>> results = new ArrayList<>();
-      for (DiscoveryAgent.Answer answer : SLOW_ANSWERS.values()) {
-        results.add(
-            threads.submit(
-                () -> {
-                  assertReceivesSlowList(occasion, answer);
-                  return null;
-                }));
-      }
-      for (Future<?> result : results) {
-        result.get();
-      }
-    } finally {
-      threads.shutdownNow();
+    Map<String, Throwable> failures = new ConcurrentHashMap<>();
+    List<Thread> threads = new ArrayList<>();
+    SLOW_ANSWERS.forEach(
+        (name, answer) ->
+            threads.add(
+                new Thread(
+                    () -> {
+                      try {
+                        assertReceivesSlowList(occasion, answer);
+                      } catch (Exception | AssertionError failure) {
+                        failures.put(name, failure);
+                      }
+                    })));
+    threads.forEach(Thread::start);
+    for (Thread thread : threads) {
+      thread.join();
     }
+    assertEquals(failures, Map.of());
   }
 
   private static void assertReceivesSlowList(Occasion occasion, DiscoveryAgent.Answer slowAnswer)
