Discovery: a watch that used to be answered in time is not asked for twice

Found when reading the change again: where discovery answers within the limits of (head after 0.9 s, or head at once and the list after 2 s) one watch was opened there, and two since, more requests to a slow discovery in place of fewer.

Cause: intervals were shortened at random below 1 s, and a response that had begun was not considered.

Change: intervals are lengthened at random, by a tenth at most. Where the response of the newest watch has begun, the next one is opened no sooner than 2.2 s after it, as a blank line comes every 2 s.

WatchScheduleTest holds 4 watches in the first 6 s in place of 5. The 46 tests of discovery green.

--- a/src/main/java/bitternpulley/platform/Discovery.java
+++ b/src/main/java/bitternpulley/platform/Discovery.java
@@ -162,8 +162,13 @@
   }
 
   private void openAnotherWatch() {
+    boolean newestIsUnanswered = unanswered.contains(newest);
+    if (newestIsUnanswered && newest.msUntilFirstLineIsOverdue() > 0) {
+      scheduleWatch(newest.msUntilFirstLineIsOverdue(), this::openAnotherWatch);
+      return;
+    }
     schedule.growInterval();
-    if (unanswered.contains(newest)) {
+    if (newestIsUnanswered) {
       schedule.recordUnanswered();
     }
     openWatch();
--- a/src/main/java/bitternpulley/platform/DiscoveryWatch.java
+++ b/src/main/java/bitternpulley/platform/DiscoveryWatch.java
@@ -33,6 +33,12 @@
    */
   private static final double LINE_TIMEOUT_MS = 3000;
 
+  /**
+   * Time from the opening of a watch whose response has begun until its first line is overdue, in
+   * ms. The agent sends a blank line every 2 s.
+   */
+  private static final double FIRST_LINE_TIMEOUT_MS = 2200;
+
   /** Receives the events of a watch. */
   interface Listener {
     /** The last revision received by any watch. */
@@ -70,7 +76,9 @@
   /** Closes the watch if it stays unanswered. */
   private Future<?> answerTimer;
 
+  private double openedAt;
   private double answerDeadline;
+  private boolean headReceived;
   private boolean answered;
   private double lastLineAt;
   private boolean silenceCheckScheduled;
@@ -100,7 +108,8 @@
    *     connected, unless it has received a line
    */
   void open(double answerTimeout) {
-    answerDeadline = loop.now() + answerTimeout;
+    openedAt = loop.now();
+    answerDeadline = openedAt + answerTimeout;
     try {
       connection = Connection.open(loop, agentAddress, answerTimeout, this, this::sendRequest);
       answerTimer = loop.scheduleCancellable(answerTimeout, this::closeUnlessAnswered);
@@ -130,6 +139,14 @@
     return answerDeadline;
   }
 
+  /**
+   * The time in ms until the first line of a watch whose response has begun is overdue; 0 if the
+   * response has not begun.
+   */
+  double msUntilFirstLineIsOverdue() {
+    return headReceived ? Math.max(0, openedAt + FIRST_LINE_TIMEOUT_MS - loop.now()) : 0;
+  }
+
   /** The last revision that this watch has received or, until then, asked for. */
   long revision() {
     return revision;
@@ -190,6 +207,7 @@
     if (head.status() != 200) {
       throw new HttpException(502, "status " + head.status());
     }
+    headReceived = true;
   }
 
   @Override
--- a/src/main/java/bitternpulley/platform/WatchSchedule.java
+++ b/src/main/java/bitternpulley/platform/WatchSchedule.java
@@ -48,12 +48,12 @@
   private static final double MAX_BACKOFF_MS = 250;
 
   /**
-   * The maximum shares of a backoff and of an interval that are subtracted at random, so that
-   * instances do not send their requests simultaneously.
+   * The maximum share of a backoff that is subtracted, and the maximum share of an interval that is
+   * added at random, so that instances do not send their requests simultaneously.
    */
   private static final double BACKOFF_JITTER_SHARE = 0.5;
 
-  private static final double INTERVAL_JITTER_SHARE = 0.2;
+  private static final double INTERVAL_JITTER_SHARE = 0.1;
 
   private final Random random;
   private double interval;
@@ -76,7 +76,7 @@
 
   /** Makes the next interval longer than the one that has ended. */
   void growInterval() {
-    interval = Math.min(INTERVAL_GROWTH * interval, MAX_INTERVAL_MS);
+    interval = Math.min(INTERVAL_GROWTH * interval, MAX_INTERVAL_MS / (1 + INTERVAL_JITTER_SHARE));
   }
 
   /**
@@ -90,12 +90,12 @@
 
   /** Returns the time in ms after which another watch is opened beside unanswered ones. */
   double interval() {
-    return withJitter(interval, INTERVAL_JITTER_SHARE);
+    return interval * (1 + INTERVAL_JITTER_SHARE * random.nextDouble());
   }
 
   /** Returns the time in ms after which the next watch is opened once none is open any more. */
   double nextBackoff() {
-    double current = withJitter(backoff, BACKOFF_JITTER_SHARE);
+    double current = backoff * (1 - BACKOFF_JITTER_SHARE * random.nextDouble());
     backoff = Math.min(2 * backoff, MAX_BACKOFF_MS);
     return current;
   }
@@ -108,8 +108,4 @@
             : Math.min(Long.lowestOneBit(unansweredWatches), MAX_ANSWER_TIMEOUT_FACTOR);
     return MIN_ANSWER_TIMEOUT_MS * factor;
   }
-
-  private double withJitter(double ms, double maxShare) {
-    return ms * (1 - maxShare * random.nextDouble());
-  }
 }
--- a/src/test/java/bitternpulley/platform/SlowDiscoveryTest.java
+++ b/src/test/java/bitternpulley/platform/SlowDiscoveryTest.java
@@ -68,74 +68,87 @@
     }
   }
 
-  /** The ways of a slow answer; each sends a list of revision 43. */
-  private static final Map<String, DiscoveryAgent.Answer> SLOW_ANSWERS =
-      Map.of(
-          "slow head",
-          (number, watch) -> {
-            pause(SLOW_MS);
-            write(watch, HEAD + chunk(list(43)));
-          },
-          "head in pieces",
-          (number, watch) -> {
-            writeInPieces(watch, HEAD, SLOW_MS);
-            write(watch, chunk(list(43)));
-          },
-          "slow first line",
-          (number, watch) -> {
-            write(watch, HEAD);
-            pause(SLOW_MS);
-            write(watch, chunk(list(43)));
-          },
-          "list in pieces",
-          (number, watch) -> {
-            write(watch, HEAD);
-            writeInPieces(watch, chunk(list(43)), SLOW_MS);
-          });
+  /** The ways of an answer that takes this time; each sends a list of revision 43. */
+  private static Map<String, DiscoveryAgent.Answer> slowAnswers(double answerMs) {
+    return Map.of(
+        "slow head",
+        (number, watch) -> {
+          pause(answerMs);
+          write(watch, HEAD + chunk(list(43)));
+        },
+        "head in pieces",
+        (number, watch) -> {
+          writeInPieces(watch, HEAD, answerMs);
+          write(watch, chunk(list(43)));
+        },
+        "slow first line",
+        (number, watch) -> {
+          write(watch, HEAD);
+          pause(answerMs);
+          write(watch, chunk(list(43)));
+        },
+        "list in pieces",
+        (number, watch) -> {
+          write(watch, HEAD);
+          writeInPieces(watch, chunk(list(43)), answerMs);
+        });
+  }
 
   /** When discovery is slow. */
   private enum Occasion {
-    START,
-    RESET,
-    SILENCE,
-    RELOAD
+    START(COUNTS_AS_RECEIVED_AFTER_MS),
+    RESET(COUNTS_AS_RECEIVED_AFTER_MS),
+    SILENCE(COUNTS_AS_RECEIVED_AFTER_MS),
+    RELOAD(COUNTS_AS_RECEIVED_AFTER_RELOAD_MS);
+
+    private final double countsAsReceivedAfterMs;
+
+    Occasion(double countsAsReceivedAfterMs) {
+      this.countsAsReceivedAfterMs = countsAsReceivedAfterMs;
+    }
+
+    /** Discovery's own time counts on top where no client could have its answer in time. */
+    double maxMs(double answerMs) {
+      return answerMs <= SLOW_MS ? countsAsReceivedAfterMs : countsAsReceivedAfterMs + answerMs;
+    }
   }
 
   @DataProvider
-  public Object[][] occasions() {
-    return new Object[][] {
-      {Occasion.START}, {Occasion.RESET}, {Occasion.SILENCE}, {Occasion.RELOAD}
-    };
+  public Object[][] answerTimes() {
+    return new Object[][] {{900.0}, {SLOW_MS}, {5000.0}};
   }
 
   /** A watch that took longer than a fixed limit was given up and asked for again, without end. */
-  @Test(dataProvider = "occasions")
-  public void receivesTheListOfASlowDiscoveryInTime(Occasion occasion) throws Exception {
+  @Test(dataProvider = "answerTimes")
+  public void receivesTheListOfASlowDiscoveryInTime(double answerMs) throws Exception {
     Map<String, Throwable> failures = new ConcurrentHashMap<>();
     List<Thread> threads = new ArrayList<>();
-    SLOW_ANSWERS.forEach(
-        (name, answer) ->
-            threads.add(
-                new Thread(
-                    () -> {
-                      try {
-                        assertReceivesSlowList(occasion, answer);
-                      } catch (Exception | AssertionError failure) {
-                        failures.put(name, failure);
-                      }
-                    })));
+    for (Occasion occasion : Occasion.values()) {
+      slowAnswers(answerMs)
+          .forEach(
+              (name, answer) ->
+                  threads.add(
+                      new Thread(
+                          () -> {
+                            try {
+                              assertReceivesSlowList(occasion, answer, occasion.maxMs(answerMs));
+                            } catch (Exception | AssertionError failure) {
+                              failures.put(name + ", " + occasion, failure);
+                            }
+                          })));
+    }
     threads.forEach(Thread::start);
     for (Thread thread : threads) {
       thread.join();
     }
-    assertEquals(failures, Map.of());
+    assertTrue(failures.isEmpty(), failures.toString());
   }
 
-  private static void assertReceivesSlowList(Occasion occasion, DiscoveryAgent.Answer slowAnswer)
-      throws Exception {
+  private static void assertReceivesSlowList(
+      Occasion occasion, DiscoveryAgent.Answer slowAnswer, double maxMs) throws Exception {
     if (occasion == Occasion.START) {
       try (DiscoveryAgent agent = new DiscoveryAgent(slowAnswer)) {
-        new Client(agent).assertReceives(43, COUNTS_AS_RECEIVED_AFTER_MS);
+        new Client(agent).assertReceives(43, maxMs);
       }
       return;
     }
@@ -157,11 +170,23 @@
       } else if (occasion == Occasion.RELOAD) {
         client.moveTo(slowAgent.address());
       }
-      client.assertReceives(
-          43,
-          occasion == Occasion.RELOAD
-              ? COUNTS_AS_RECEIVED_AFTER_RELOAD_MS
-              : COUNTS_AS_RECEIVED_AFTER_MS);
+      client.assertReceives(43, maxMs);
+    }
+  }
+
+  @DataProvider
+  public Object[][] answersOfOneWatch() {
+    return new Object[][] {
+      {"slow head", 900.0}, {"slow first line", 2000.0}, {"list in pieces", 2000.0}
+    };
+  }
+
+  /** A slow discovery must not get more requests than when watches were given up. */
+  @Test(dataProvider = "answersOfOneWatch")
+  public void asksOnceWhereOneWatchUsedToBeAnswered(String form, double answerMs) throws Exception {
+    try (DiscoveryAgent agent = new DiscoveryAgent(slowAnswers(answerMs).get(form))) {
+      new Client(agent).assertReceives(43, COUNTS_AS_RECEIVED_AFTER_MS);
+      assertEquals(agent.watches.size(), 1);
     }
   }
 
--- a/src/test/java/bitternpulley/platform/WatchScheduleTest.java
+++ b/src/test/java/bitternpulley/platform/WatchScheduleTest.java
@@ -35,7 +35,7 @@
     List<Attempt> attempts = unansweredUntil(60_000, 1);
     long early = attempts.stream().filter(attempt -> attempt.openedAt() < 6000).count();
     long late = attempts.stream().filter(attempt -> attempt.openedAt() >= 54_000).count();
-    assertTrue(early <= 5, early + " watches in the first 6 s");
+    assertTrue(early <= 4, early + " watches in the first 6 s");
     assertTrue(late <= 3, late + " watches in 6 s after a minute");
   }
 
